--- /dev/null
+++ b/cmd/wagtailbench/main.go
@@ -0,0 +1,29 @@
+// Command wagtailbench runs load tests and experiments on wagtailspoke and
+// prints their tables.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "wagtailbench",
+		Short:         "Load tests and experiments with fixed seeds",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(experiments()...)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "wagtailbench:", err)
+		os.Exit(1)
+	}
+}
+
+// experiments lists the subcommands, one for each package below internal/bench.
+func experiments() []*cobra.Command {
+	return []*cobra.Command{}
+}
