--- a/pkg/coordination/membership/membership.go
+++ b/pkg/coordination/membership/membership.go
@@ -183,7 +183,9 @@
 	gap := held == 0 || list.Revision != held+1
 	m.history.observe(now, m.self, m.List(), next, gap)
 	m.list.Store(next)
-	m.confirmedAt = confirmedAt
+	if confirmedAt.After(m.confirmedAt) {
+		m.confirmedAt = confirmedAt
+	}
 	m.heard = max(m.heard, list.Revision)
 	m.remember(list)
 	m.forgetPeers(next)
@@ -235,8 +237,10 @@
 }
 
 // ConfirmedAt returns when the platform read was sent that last returned the
-// list's revision as the newest. It is zero when there was none, or when a
-// peer has a higher revision.
+// list's revision as the newest, or a lower one that was the list's then: no
+// list that is newer than the one held was in the platform's answer at that
+// time. It is zero when there was no such read, or when a peer has a higher
+// revision.
 func (m *Members) ConfirmedAt() time.Time {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- /dev/null
+++ b/pkg/coordination/relay/actions.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/platformapi"
+)
+
+// Action is something that the caller has to do for the relay. The result goes
+// back through the method that the type names.
+type Action interface{ action() }
+
+// SendHeartbeat calls peer.heartbeat. Result: OnHeartbeatReply or
+// OnHeartbeatFailure.
+type SendHeartbeat struct {
+	To      platformapi.VM
+	Message peer.Heartbeat
+	Timeout time.Duration
+}
+
+// PullDelta calls peer.delta. Result: OnDelta or OnDeltaFailure.
+type PullDelta struct {
+	To      platformapi.VM
+	Request peer.DeltaRequest
+	Timeout time.Duration
+}
+
+// PullVMList calls peer.vmList. Result: OnVMList or OnVMListFailure.
+type PullVMList struct {
+	To      platformapi.VM
+	Request peer.VMListRequest
+	Timeout time.Duration
+}
+
+// WatchRecords asks the platform for the changes after a revision and waits up
+// to Wait for one. Result: OnChanges or OnPlatformFailure.
+type WatchRecords struct {
+	After ids.Revision
+	Wait  time.Duration
+}
+
+// ListRecords asks the platform for all records. Result: OnListing or
+// OnPlatformFailure.
+type ListRecords struct{}
+
+// WatchVMs asks the platform for a VM list above a revision and waits up to
+// Wait for one. Result: OnVMs or OnPlatformFailure.
+type WatchVMs struct {
+	After ids.Revision
+	Wait  time.Duration
+}
+
+// BecameReady tells that the VM has a complete view and may serve.
+type BecameReady struct {
+	// FromPlatform tells that no peer could be asked, so that a stale
+	// platform would not have been noticed.
+	FromPlatform bool
+}
+
+func (SendHeartbeat) action() {}
+func (PullDelta) action()     {}
+func (PullVMList) action()    {}
+func (WatchRecords) action()  {}
+func (ListRecords) action()   {}
+func (WatchVMs) action()      {}
+func (BecameReady) action()   {}
+
+// Read names a kind of platform read.
+type Read uint8
+
+// The kinds of platform reads.
+const (
+	ReadRecords Read = iota
+	ReadListing
+	ReadVMs
+	readKinds
+)
--- /dev/null
+++ b/pkg/coordination/relay/links.go
@@ -0,0 +1,234 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/membership"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/platformapi"
+	"github.com/wagtailspoke/wagtailspoke/pkg/state/catalog"
+)
+
+const (
+	// intervalNear is the heartbeat interval inside a data centre.
+	intervalNear = time.Second
+	// intervalQuiet is the interval between two VMs of a large data centre of
+	// which neither relays for the other. It halves the largest part of the
+	// control traffic and leaves two heartbeats within the authority term.
+	intervalQuiet = 2 * time.Second
+	// intervalFar is the heartbeat interval across data centres.
+	intervalFar = 3 * time.Second
+	// smallDataCentre is up to how many VMs all pairs use intervalNear.
+	smallDataCentre = 8
+	// firstSequences is the range of the random first sequence of a link. An
+	// echo of an earlier boot must not match a sequence of this one.
+	firstSequences = 1 << 31
+	// sentMemory is how many sent heartbeats are remembered for echoes.
+	sentMemory = 4
+)
+
+// chords are the distances, in the ordered ring of data centres, of the links
+// across regions. Steps of 1, 3 and 9 reach any of 31 data centres in at most
+// five hops, while each data centre keeps six links.
+var chords = []struct {
+	distance int
+	// rank is the watcher that keeps the link, to spread the traffic.
+	rank int
+}{{1, 0}, {3, 0}, {9, 1}}
+
+// link is the state of the exchange with one peer.
+type link struct {
+	vm       platformapi.VM
+	interval time.Duration
+	timeout  time.Duration
+	// calls tells that this VM sends the heartbeats of the pair.
+	calls    bool
+	inFlight bool
+	sentAt   time.Time
+	heardAt  time.Time
+
+	sequence uint64
+	sent     [sentMemory]sentBeat
+	// boot and received are the peer's boot and its highest sequence.
+	boot     ids.BootID
+	received uint64
+
+	ready          bool
+	records        ids.Revision
+	list           ids.Revision
+	answered       bool
+	failures       int
+	pullFailedAt   time.Time
+	listPullFailed time.Time
+}
+
+type sentBeat struct {
+	sequence uint64
+	at       time.Time
+}
+
+// topology remembers from what the links were computed.
+type topology struct {
+	list  *membership.List
+	view  *catalog.View
+	ready bool
+}
+
+type regions map[ids.DataCentreID]string
+
+// Links lists the VMs to keep a connection with.
+func (r *Relay) Links() []platformapi.VM {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]platformapi.VM, 0, len(r.links))
+	for _, id := range r.linkOrder() {
+		list = append(list, r.links[id].vm)
+	}
+	return list
+}
+
+// linkOrder returns the ids of the links in order, so that equal states give
+// equal actions.
+func (r *Relay) linkOrder() []ids.VMID {
+	order := make([]ids.VMID, 0, len(r.links))
+	for id := range r.links {
+		order = append(order, id)
+	}
+	slices.Sort(order)
+	return order
+}
+
+// refreshLinks recomputes the links when the list changed, or the regions.
+func (r *Relay) refreshLinks(now time.Time) {
+	list := r.members.List()
+	current := topology{list: list, view: r.catalog.View(), ready: r.startup.ready}
+	if r.topology == current {
+		return
+	}
+	r.topology = current
+	wanted := r.wantedLinks(list, current.view.Regions())
+	for id := range r.links {
+		if _, keep := wanted[id]; !keep {
+			delete(r.links, id)
+		}
+	}
+	for id, want := range wanted {
+		held, known := r.links[id]
+		if !known {
+			want.heardAt = now
+			want.sequence = r.rand.Uint64N(firstSequences)
+			r.links[id] = want
+			continue
+		}
+		held.vm, held.interval, held.timeout = want.vm, want.interval, want.timeout
+	}
+	for id, l := range r.links {
+		l.calls = r.members.Self() < id
+	}
+}
+
+// wantedLinks returns the peers that this VM exchanges heartbeats with.
+func (r *Relay) wantedLinks(list *membership.List, regions regions) map[ids.VMID]*link {
+	wanted := make(map[ids.VMID]*link)
+	add := func(vm platformapi.VM, interval, timeout time.Duration) {
+		if _, known := wanted[vm.ID]; !known && vm.ID != r.members.Self() {
+			wanted[vm.ID] = &link{vm: vm, interval: interval, timeout: timeout}
+		}
+	}
+	for _, vm := range r.members.LivePeers(r.members.DataCentre()) {
+		add(vm, r.nearInterval(list, vm), TimeoutNear)
+	}
+	for _, vm := range r.farLinks(list, regions) {
+		add(vm, intervalFar, TimeoutFar)
+	}
+	if len(wanted) == 0 {
+		for _, vm := range r.seeds {
+			add(vm, intervalNear, TimeoutFar)
+		}
+	}
+	return wanted
+}
+
+// nearInterval returns the interval to a VM of the own data centre. Each VM
+// has one of the watchers as its relay and hears from it every second.
+func (r *Relay) nearInterval(list *membership.List, vm platformapi.VM) time.Duration {
+	dataCentre := r.members.DataCentre()
+	if len(list.LiveIn(dataCentre)) <= smallDataCentre {
+		return intervalNear
+	}
+	watchers := list.Watchers(dataCentre)
+	self := r.members.Self()
+	if relayOf(self, watchers) == vm.ID || relayOf(vm.ID, watchers) == self {
+		return intervalNear
+	}
+	return intervalQuiet
+}
+
+// relayOf returns the watcher from which a VM hears every second. Watchers
+// hear from each other.
+func relayOf(vm ids.VMID, watchers []platformapi.VM) ids.VMID {
+	others := make([]platformapi.VM, 0, len(watchers))
+	for _, watcher := range watchers {
+		if watcher.ID != vm {
+			others = append(others, watcher)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[membership.Score("relay", vm)%uint64(len(others))].ID
+}
+
+// farLinks lists the watchers of other data centres that this VM exchanges
+// heartbeats with: in its region the watcher of its own rank, elsewhere along
+// the chords. A starting VM asks all watchers of its region.
+func (r *Relay) farLinks(list *membership.List, regions regions) []platformapi.VM {
+	here := r.members.DataCentre()
+	rank := rankOf(r.members.Self(), list.Watchers(here))
+	var far []platformapi.VM
+	for _, dataCentre := range list.DataCentres() {
+		sameRegion := regions[dataCentre] == regions[here] && regions[here] != ""
+		if dataCentre == here || !sameRegion {
+			continue
+		}
+		watchers := list.Watchers(dataCentre)
+		if !r.startup.ready {
+			far = append(far, watchers...)
+			continue
+		}
+		if rank >= 0 && rank < len(watchers) {
+			far = append(far, watchers[rank])
+		}
+	}
+	return append(far, r.chordLinks(list, here, rank)...)
+}
+
+// chordLinks lists the peers across regions. A starting VM, which knows no
+// regions yet, asks the first watchers along the chords.
+func (r *Relay) chordLinks(list *membership.List, here ids.DataCentreID, rank int) []platformapi.VM {
+	ring := list.DataCentres()
+	at := slices.Index(ring, here)
+	if at < 0 || len(ring) < 2 {
+		return nil
+	}
+	var far []platformapi.VM
+	for _, chord := range chords {
+		if r.startup.ready && rank != chord.rank {
+			continue
+		}
+		for _, step := range []int{chord.distance, len(ring) - chord.distance%len(ring)} {
+			other := ring[(at+step)%len(ring)]
+			watchers := list.Watchers(other)
+			if other == here || len(watchers) == 0 {
+				continue
+			}
+			far = append(far, watchers[min(chord.rank, len(watchers)-1)])
+		}
+	}
+	return far
+}
+
+func rankOf(vm ids.VMID, watchers []platformapi.VM) int {
+	return slices.IndexFunc(watchers, func(w platformapi.VM) bool { return w.ID == vm })
+}
