Simulate a fleet on a simulated clock and hold the relay by it

Decision code without a clock or sockets can be run by the hundred in one process. A test with the bootstrap rule off shows the revert.

--- /dev/null
+++ b/pkg/coordination/relay/relay_test.go
@@ -0,0 +1,270 @@
+package relay_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/config/fleet"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+)
+
+// TestMain fixes the seed of rapid, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20260101"); err != nil {
+		panic(err)
+	}
+	if err := flag.Set("rapid.checks", "60"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const watched = "customer/c"
+
+func customer(burst int) string {
+	return fmt.Sprintf(`{"kind":"customer","schema":2,"id":"c","spec":{"tokensPerSecond":10,"burstTokens":%d}}`, burst)
+}
+
+func sites() []fleet.Site {
+	return []fleet.Site{{ID: "a", Region: "r", VMs: 2}, {ID: "b", Region: "r", VMs: 2}, {ID: "c", Region: "r", VMs: 2}, {ID: "d", Region: "r", VMs: 2}}
+}
+
+func started(t *testing.T, config fleet.Config) *fleet.Fleet {
+	t.Helper()
+	f := fleet.New(config)
+	f.Platform.Publish(watched, customer(1))
+	f.StartAll(100 * time.Millisecond)
+	f.Run(15 * time.Second)
+	for _, node := range f.All() {
+		assert.Assert(t, node.Ready(), "%s is not ready", node.VM.ID)
+	}
+	return f
+}
+
+func held(node *fleet.Node) ids.Revision {
+	revision, _ := node.Catalog.Held(watched)
+	return revision
+}
+
+// Guards against a record that comes into force late or not at all on a VM
+// that is connected to a fresh peer or to the platform.
+func TestRecordIsInForceWithin12Seconds(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(*fleet.Fleet)
+	}{
+		{"no fault", func(*fleet.Fleet) {}},
+		{"a data centre is cut off the platform", func(f *fleet.Fleet) {
+			f.CutPlatform = func(dataCentre ids.DataCentreID) bool { return dataCentre == "a" }
+		}},
+		{"only one data centre reaches the platform", func(f *fleet.Fleet) {
+			f.CutPlatform = func(dataCentre ids.DataCentreID) bool { return dataCentre != "a" }
+		}},
+		{"a data centre is cut off its peers", func(f *fleet.Fleet) {
+			f.Cut = func(a, b ids.DataCentreID) bool { return a == "a" || b == "a" }
+		}},
+		{"both watchers of a data centre die", func(f *fleet.Fleet) {
+			for _, vm := range f.All()[0].Members.List().Watchers("a") {
+				f.Nodes[vm.ID].Kill()
+			}
+		}},
+		{"watchers pause and messages are lost", func(f *fleet.Fleet) {
+			f.Config.Loss = 0.2
+			for _, vm := range f.All()[0].Members.List().Watchers("a")[:1] {
+				f.Nodes[vm.ID].Pause(20 * time.Second)
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := started(t, fleet.Config{Seed: 1, Sites: append(sites()[1:], fleet.Site{ID: "a", Region: "r", VMs: 4})})
+			test.fault(f)
+			f.Run(5 * time.Second)
+			revision := f.Platform.Publish(watched, customer(2))
+			f.Run(12 * time.Second)
+			for _, node := range f.All() {
+				if node.Awake() {
+					assert.Equal(t, held(node), revision, "%s", node.VM.ID)
+				}
+			}
+		})
+	}
+}
+
+// Guards the test above: without pulls and own reads a VM stays behind.
+func TestWithoutRelayingVMsStayBehind(t *testing.T) {
+	sites := append(sites()[1:], fleet.Site{ID: "a", Region: "r", VMs: 4})
+	f := started(t, fleet.Config{Seed: 1, Sites: sites})
+	for _, node := range f.All() {
+		node.Relay.SwitchOffRelaying()
+	}
+	revision := f.Platform.Publish(watched, customer(2))
+	f.Run(12 * time.Second)
+	behind := 0
+	for _, node := range f.All() {
+		if held(node) < revision {
+			behind++
+		}
+	}
+	assert.Equal(t, behind, 2)
+}
+
+// restartUnderStalePlatform withdraws a record, makes the platform answer as
+// of before, restarts a VM and tells whether the record is back on it.
+func restartUnderStalePlatform(t *testing.T, prepare func(*fleet.Node)) bool {
+	f := started(t, fleet.Config{Seed: 3, Sites: sites(), Prepare: prepare})
+	before := f.Platform.Revision()
+	f.Platform.Withdraw(watched)
+	f.Run(5 * time.Second)
+	f.Platform.FrozenAt = before
+	node := f.All()[0]
+	node.Kill()
+	f.Run(time.Second)
+	node.Start()
+	f.Run(20 * time.Second)
+	assert.Assert(t, node.Ready())
+	_, published := node.Catalog.Held(watched)
+	return published
+}
+
+// Guards against a restart that brings a withdrawn record back because the
+// platform is stale.
+func TestRestartDoesNotRevert(t *testing.T) {
+	assert.Assert(t, !restartUnderStalePlatform(t, nil))
+}
+
+// Shows what the bootstrap from peers prevents. The VM is looked at right when
+// it becomes ready, before its peers tell it more.
+func TestWithoutBootstrapARestartReverts(t *testing.T) {
+	off := func(node *fleet.Node) {
+		node.Relay.SwitchOffBootstrap()
+		node.Relay.SwitchOffRelaying()
+	}
+	assert.Assert(t, restartUnderStalePlatform(t, off))
+}
+
+// neverReverts is a register for each VM whose reads never go down, restarts
+// of the VM included.
+var neverReverts = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byVM := make(map[any][]porcupine.Operation)
+		for _, operation := range history {
+			byVM[operation.Input] = append(byVM[operation.Input], operation)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byVM {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return ids.Revision(0) },
+	Step: func(state, _, output any) (bool, any) {
+		return output.(ids.Revision) >= state.(ids.Revision), output
+	},
+}
+
+// pairOfFaults starts two faults and returns what ends them.
+func pairOfFaults(t *rapid.T, f *fleet.Fleet) func() {
+	kinds := rapid.SampledFrom([][2]string{
+		{"restart", "stale"}, {"restart", "pause"}, {"restart", "cut"}, {"pause", "stale"}, {"replace", "stale"},
+		{"cut", "stale"}, {"down", "restart"}, {"restart", "restart"}, {"replace", "cut"}, {"lag", "replace"},
+	}).Draw(t, "faults")
+	var ends []func()
+	for _, kind := range kinds {
+		up := f.All()
+		node := up[rapid.IntRange(0, len(up)-1).Draw(t, "vm")]
+		ends = append(ends, oneFault(f, node, kind))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+func oneFault(f *fleet.Fleet, node *fleet.Node, kind string) func() {
+	switch kind {
+	case "restart":
+		node.Kill()
+		f.After(f.Uniform(2*time.Second), func() {
+			if !node.Up {
+				node.Start()
+			}
+		})
+	case "replace":
+		f.Replace(node)
+	case "pause":
+		node.Pause(f.Uniform(20 * time.Second))
+	case "cut":
+		f.Cut = func(a, b ids.DataCentreID) bool { return a == node.VM.DataCentre || b == node.VM.DataCentre }
+	case "stale":
+		f.Platform.FrozenAt = max(1, f.Platform.Revision()-ids.Revision(f.Rand.IntN(3)))
+	case "down":
+		f.Platform.Down = true
+	case "lag":
+		f.Platform.ListLag = func() time.Duration { return f.Uniform(10 * time.Second) }
+	}
+	return func() {
+		f.Platform.FrozenAt, f.Platform.Down = 0, false
+		f.Platform.ListLag = func() time.Duration { return 0 }
+		f.Cut = func(a, b ids.DataCentreID) bool { return false }
+	}
+}
+
+// Guards against a record that reverts on some VM under two faults at once,
+// and against VMs that stay behind after the faults ended.
+func TestRecordsNeverRevertUnderTwoFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fleet.New(fleet.Config{Seed: rapid.Uint64().Draw(t, "seed"), Sites: sites(), Loss: 0.02, Repeat: 0.05})
+		f.Platform.Publish(watched, customer(1))
+		var history []porcupine.Operation
+		f.Applied = func(node *fleet.Node) {
+			if node.Ready() {
+				at := f.Elapsed().Nanoseconds()
+				history = append(history, porcupine.Operation{Input: node.VM.ID, Call: at, Output: held(node), Return: at})
+			}
+		}
+		f.StartAll(100 * time.Millisecond)
+		f.Run(8 * time.Second)
+		for round := range rapid.IntRange(1, 3).Draw(t, "rounds") {
+			f.Platform.Publish(watched, customer(round+2))
+			f.Run(6 * time.Second)
+			end := pairOfFaults(t, f)
+			f.Run(f.Uniform(15 * time.Second))
+			f.Platform.Publish(watched, customer(round+20))
+			f.Run(f.Uniform(5 * time.Second))
+			end()
+			f.Run(25 * time.Second)
+		}
+		last, _ := held(f.All()[0]), 0
+		for _, node := range f.All() {
+			if !node.Ready() || held(node) != last || last != f.Platform.Revision() {
+				t.Fatalf("%s: ready %v, holds %d, the platform has %d", node.VM.ID, node.Ready(), held(node), f.Platform.Revision())
+			}
+		}
+		if !porcupine.CheckOperations(neverReverts, thinned(history)) {
+			t.Fatalf("a record reverted: %v", history)
+		}
+	})
+}
+
+// thinned drops reads that repeat the one before on the same VM.
+func thinned(history []porcupine.Operation) []porcupine.Operation {
+	last := make(map[any]any)
+	var kept []porcupine.Operation
+	for _, operation := range history {
+		if last[operation.Input] != operation.Output {
+			last[operation.Input] = operation.Output
+			kept = append(kept, operation)
+		}
+	}
+	return kept
+}
