--- a/internal/bench/config/fleet/fleet.go
+++ b/internal/bench/config/fleet/fleet.go
@@ -41,6 +41,9 @@
 	// Loss is the part of messages that is lost, Repeat the part of requests
 	// that arrives twice.
 	Loss, Repeat float64
+	// CountBytes measures the size of every message, which costs most of the
+	// time of a simulation.
+	CountBytes bool
 	// Prepare is called for each started VM before its first step.
 	Prepare func(*Node)
 }
@@ -240,7 +243,10 @@
 }
 
 // wireSize is what a message costs on the network.
-func wireSize(message any, overhead int) int {
+func (f *Fleet) wireSize(message any, overhead int) int {
+	if !f.Config.CountBytes {
+		return 0
+	}
 	body, err := json.Marshal(message)
 	if err != nil {
 		panic(err)
@@ -263,13 +269,13 @@
 		})
 	}
 	f.After(timeout, func() { settle(onFailure) })
-	size := wireSize(request, requestOverhead)
+	size := f.wireSize(request, requestOverhead)
 	from.sent(size)
 	deliver := func() {
 		f.whenAwake(to, to.Boot, func() {
 			to.received(size)
 			reply := handle(request)
-			replySize := wireSize(reply, replyOverhead)
+			replySize := f.wireSize(reply, replyOverhead)
 			to.sent(replySize)
 			if f.lost(to, from) {
 				return
