--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,183 @@
+// Package standin holds what the stand-ins of outside systems share: a
+// loopback HTTP server whose open connections can be made silent.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// DefaultListen is the address that a stand-in listens on when its
+// configuration names none.
+const DefaultListen = "127.0.0.1:0"
+
+// PathFault is where every stand-in takes its faults: GET shows them, POST
+// replaces them.
+const PathFault = "/fault"
+
+// readHeaderTimeout bounds connections that never send a request.
+const readHeaderTimeout = 10 * time.Second
+
+// Server is a running HTTP server.
+type Server struct {
+	http    *http.Server
+	address string
+	done    chan struct{}
+
+	mu    sync.Mutex
+	conns map[net.Conn]*connection
+}
+
+// connection is the state of one accepted connection.
+type connection struct {
+	silent atomic.Bool
+	conn   net.Conn
+}
+
+type connectionKey struct{}
+
+// Serve listens on the address, or on a free loopback port when it is empty,
+// and serves the handler until ctx ends or Close is called.
+func Serve(ctx context.Context, listen string, handler http.Handler) (*Server, error) {
+	if listen == "" {
+		listen = DefaultListen
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		address: listener.Addr().String(),
+		done:    make(chan struct{}),
+		conns:   make(map[net.Conn]*connection),
+	}
+	s.http = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext:       s.trackConnection,
+		ConnState:         s.dropConnection,
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(listener)
+	}()
+	context.AfterFunc(ctx, s.Close)
+	return s, nil
+}
+
+// Address returns the IP number and port that the server listens on.
+func (s *Server) Address() string { return s.address }
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.address }
+
+// Close ends the server and cuts its connections.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	<-s.done
+}
+
+// SilenceOpenConnections makes every connection that is open now accept
+// requests without ever answering. New connections work.
+func (s *Server) SilenceOpenConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		conn.silent.Store(true)
+	}
+}
+
+// CutOpenConnections closes every connection that is open now.
+func (s *Server) CutOpenConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) trackConnection(ctx context.Context, conn net.Conn) context.Context {
+	entry := &connection{conn: conn}
+	s.mu.Lock()
+	s.conns[conn] = entry
+	s.mu.Unlock()
+	return context.WithValue(ctx, connectionKey{}, entry)
+}
+
+func (s *Server) dropConnection(conn net.Conn, state http.ConnState) {
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
+
+// Silent tells whether the connection of a request was made silent.
+func Silent(r *http.Request) bool {
+	entry, ok := r.Context().Value(connectionKey{}).(*connection)
+	return ok && entry.silent.Load()
+}
+
+// HangIfSilent blocks until the caller gives up when the connection of the
+// request is silent, and tells whether it did.
+func HangIfSilent(r *http.Request) bool {
+	if !Silent(r) {
+		return false
+	}
+	<-r.Context().Done()
+	return true
+}
+
+// Cut closes the connection of a request without an answer.
+func Cut(r *http.Request) {
+	if entry, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+		_ = entry.conn.Close()
+	}
+}
+
+// Sleep waits for the duration and tells whether ctx still lives.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// WriteJSON answers with a status and a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// FaultHandler serves PathFault for a stand-in that holds its faults in one
+// value.
+func FaultHandler[F any](get func() F, set func(F)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			var faults F
+			decoder := json.NewDecoder(r.Body)
+			decoder.DisallowUnknownFields()
+			if err := decoder.Decode(&faults); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			set(faults)
+		}
+		WriteJSON(w, http.StatusOK, get())
+	}
+}
