--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,26 @@
+// Command standin-platform runs a stand-in for the configuration service and
+// the VM list.
+package main
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wagtailspoke/wagtailspoke/internal/standin"
+	"github.com/wagtailspoke/wagtailspoke/internal/standin/platform"
+)
+
+func main() {
+	var cfg platform.Config
+	command := &cobra.Command{
+		Use:   "standin-platform",
+		Short: "Stand-in for the configuration service and the VM list",
+	}
+	flags := command.Flags()
+	flags.StringVar(&cfg.Listen, "listen", standin.DefaultListen, "IP number and port to listen on")
+	flags.IntVar(&cfg.CallsPerSecond, "calls-per-second", platform.DefaultCallsPerSecond, "allowed calls over all readers")
+	standin.Run(command, func(ctx context.Context) (standin.Addressed, error) {
+		return platform.Start(ctx, cfg)
+	})
+}
