Add the settings of the entry daemon

Cause: the daemon must refuse wrong settings before it opens a port. Change: adds pkg/settings with defaults, one table of fields that gives flags, ranges and checks, strict decoding and FieldError with path and allowed range.

--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+	"gotest.tools/v3/assert"
+)
+
+const minimal = `"vmId":"vm-1","dataCentre":"dc-a","region":"r","platform":{"address":"127.0.0.1:9000"}`
+
+// Guards against a daemon that opens a port with settings that are wrong, and
+// against refusals that do not name the field and the allowed values.
+func TestWrongSettingsAreRefusedWithPathAndRange(t *testing.T) {
+	tests := []struct{ name, data, path, problem string }{
+		{"unknown field", `{` + minimal + `,"timeouts":{"drain":1}}`, "timeouts.drain", "unknown field"},
+		{"wrong case", `{` + minimal + `,"vmID":"a"}`, "vmID", "unknown field"},
+		{"too low", `{` + minimal + `,"timeouts":{"connectMillis":9}}`, "timeouts.connectMillis", "9 is not allowed, want 10 to 600000"},
+		{"too high", `{` + minimal + `,"limits":{"maxQueued":1000001}}`, "limits.maxQueued", "want 1 to 1000000"},
+		{"wrong type", `{` + minimal + `,"limits":{"maxQueued":"many"}}`, "limits.maxQueued", "want a whole number"},
+		{"fraction", `{` + minimal + `,"limits":{"maxQueued":1.5}}`, "limits.maxQueued", "want a whole number"},
+		{"name for address", `{` + minimal + `,"listen":{"admin":"localhost:80"}}`, "listen.admin", "want an IP number and a port"},
+		{"platform port", `{"vmId":"a","dataCentre":"b","region":"r","platform":{"address":"127.0.0.1:0"}}`, "platform.address", "port from 1 to 65535"},
+		{"no identity", `{}`, "vmId", "want 1 to 128 characters"},
+		{"objective of 1", `{` + minimal + `,"objectives":{"availability":1}}`, "objectives.availability", "below 1"},
+		{"log level", `{` + minimal + `,"log":{"level":"loud"}}`, "log.level", "one of debug, info"},
+		{"short drain", `{` + minimal + `,"timeouts":{"drainMillis":100}}`, "timeouts.drainMillis", "at least timeouts.requestMillis"},
+		{"trailing data", `{` + minimal + `} {}`, "", "data after the JSON object"},
+		{"no JSON", `{`, "", "unexpected EOF"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Decode([]byte(test.data), nil)
+			var wrong *FieldError
+			assert.Assert(t, err != nil)
+			assert.ErrorType(t, err, wrong)
+			assert.Equal(t, err.(*FieldError).Path, test.path)
+			assert.ErrorContains(t, err, test.problem)
+		})
+	}
+}
+
+// Guards against flags that do not override the file, or override it without
+// a check.
+func TestFlagsOverrideTheFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(file, []byte(`{`+minimal+`,"timeouts":{"connectMillis":50}}`), 0o600))
+	load := func(arguments ...string) (entry Entry, err error) {
+		command := &cobra.Command{Use: "x"}
+		overrides := BindFlags(command)
+		command.RunE = func(*cobra.Command, []string) error {
+			entry, err = Load(file, overrides())
+			return nil
+		}
+		command.SetArgs(arguments)
+		assert.NilError(t, command.Execute())
+		return entry, err
+	}
+	entry, err := load("--vm-id=vm-2", "--timeouts-connect-millis=70", "--objectives-availability=0.5")
+	assert.NilError(t, err)
+	assert.Equal(t, string(entry.VMID), "vm-2")
+	assert.Equal(t, entry.Timeouts.Connect, Millis(70))
+	assert.Equal(t, entry.Objectives.Availability, 0.5)
+	entry, err = load()
+	assert.NilError(t, err)
+	assert.Equal(t, entry.Timeouts.Connect, Millis(50))
+	_, err = load("--timeouts-connect-millis=soon")
+	assert.ErrorContains(t, err, `timeouts.connectMillis: "soon" is not allowed, want 10 to 600000`)
+	_, err = load("--timeouts-connect-millis=1")
+	assert.ErrorContains(t, err, "timeouts.connectMillis: 1 is not allowed")
+}
+
+// Guards against a field that is added to the struct but has no range, flag
+// or default.
+func TestEveryLeafHasAField(t *testing.T) {
+	entry := Defaults()
+	listed := make(map[string]bool)
+	for _, f := range fields(&entry) {
+		listed[f.path] = true
+		if !f.valid() {
+			switch f.path {
+			case "vmId", "dataCentre", "region", "platform.address":
+			default:
+				t.Errorf("the default of %s is not valid", f.path)
+			}
+		}
+	}
+	var leaves func(reflect.Type, string)
+	leaves = func(at reflect.Type, prefix string) {
+		for i := range at.NumField() {
+			path := prefix + at.Field(i).Tag.Get("json")
+			if at.Field(i).Type.Kind() == reflect.Struct {
+				leaves(at.Field(i).Type, path+".")
+				continue
+			}
+			assert.Assert(t, listed[path], "%s has no field entry", path)
+			delete(listed, path)
+		}
+	}
+	leaves(reflect.TypeOf(entry), "")
+	assert.Equal(t, len(listed), 0)
+}
+
+// Guards against settings that change when they are written and read again,
+// and panics on arbitrary files.
+func FuzzDecode(f *testing.F) {
+	f.Add(`{` + minimal + `}`)
+	f.Add(`{"timeouts":[],"listen":null}`)
+	f.Add(strings.Repeat(`{"listen":`, 20))
+	f.Fuzz(func(t *testing.T, data string) {
+		entry, err := Decode([]byte(data), nil)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(entry)
+		assert.NilError(t, err)
+		repeated, err := Decode(again, nil)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, entry, repeated)
+	})
+}
