--- /dev/null
+++ b/pkg/transport/peers/registry.go
@@ -0,0 +1,52 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+)
+
+// From names the sender of a message: its VM and the run of that VM.
+type From struct {
+	VM   ids.VMID   `json:"vm"`
+	Boot ids.BootID `json:"boot"`
+}
+
+// envelope is the params member of every request. The sender stands in each
+// message because a peer may restart between two of them.
+type envelope struct {
+	From From            `json:"from"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Registry maps method names to typed handlers. It is filled before the node
+// serves and only read afterwards.
+type Registry struct {
+	handlers map[string]handler
+}
+
+type handler func(ctx context.Context, from From, body json.RawMessage) (json.RawMessage, error)
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{handlers: make(map[string]handler)}
+}
+
+// Handle registers the handler of one method. Handlers run concurrently, and
+// may see the same message twice.
+func Handle[Request, Reply any](r *Registry, method string, handle func(context.Context, From, Request) (Reply, error)) {
+	r.handlers[method] = func(ctx context.Context, from From, body json.RawMessage) (json.RawMessage, error) {
+		var request Request
+		if err := json.Unmarshal(body, &request); err != nil {
+			return nil, eris.Wrapf(err, "decode %s from %s", method, from.VM)
+		}
+		reply, err := handle(ctx, from, request)
+		if err != nil {
+			return nil, err
+		}
+		return json.Marshal(reply)
+	}
+}
