--- /dev/null
+++ b/pkg/transport/callers/inference.go
@@ -0,0 +1,127 @@
+package callers
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
+)
+
+// inference implements InferenceService.
+type inference struct {
+	backend Backend
+}
+
+// Generate implements the unary call.
+func (s *inference) Generate(ctx context.Context, request *connect.Request[inferencev1.GenerateRequest]) (*connect.Response[inferencev1.GenerateResponse], error) {
+	done, refusal := s.backend.Enter()
+	if refusal != nil {
+		return nil, refusal.connectError()
+	}
+	defer done()
+	generation, refusal := s.admit(request.Msg, request.Header(), request.Spec().Procedure)
+	if refusal != nil {
+		return nil, refusal.connectError()
+	}
+	answer, refusal := s.backend.Generate(ctx, generation, nil)
+	if refusal != nil {
+		refusal.Request = generation.Request
+		return nil, refusal.connectError()
+	}
+	return connect.NewResponse(&inferencev1.GenerateResponse{
+		RequestId:    string(generation.Request),
+		Adapter:      string(answer.Model.Adapter),
+		Version:      uint64(answer.Model.Version),
+		Text:         answer.Text,
+		FinishReason: answer.FinishReason,
+		Usage:        usage(answer),
+	}), nil
+}
+
+// GenerateStream implements the streaming call.
+func (s *inference) GenerateStream(ctx context.Context, request *connect.Request[inferencev1.GenerateRequest], stream *connect.ServerStream[inferencev1.GenerateStreamResponse]) error {
+	done, refusal := s.backend.Enter()
+	if refusal != nil {
+		return refusal.connectError()
+	}
+	defer done()
+	generation, refusal := s.admit(request.Msg, request.Header(), request.Spec().Procedure)
+	if refusal != nil {
+		return refusal.connectError()
+	}
+	answer, refusal := s.backend.Generate(ctx, generation, func(token Token) error {
+		message := streamMessage(generation.Request, token.Model)
+		message.Text = token.Text
+		message.Offset = token.Offset
+		return stream.Send(message)
+	})
+	if refusal != nil {
+		refusal.Request = generation.Request
+		return refusal.connectError()
+	}
+	message := streamMessage(generation.Request, answer.Model)
+	message.Offset = answer.Usage.CompletionTokens
+	message.Final = &inferencev1.StreamEnd{FinishReason: answer.FinishReason, Usage: usage(answer)}
+	return stream.Send(message)
+}
+
+func streamMessage(request ids.RequestID, model ids.AdapterRef) *inferencev1.GenerateStreamResponse {
+	return &inferencev1.GenerateStreamResponse{
+		RequestId: string(request),
+		Adapter:   string(model.Adapter),
+		Version:   uint64(model.Version),
+	}
+}
+
+func usage(answer Generated) *inferencev1.Usage {
+	return &inferencev1.Usage{
+		PromptTokens:     answer.Usage.PromptTokens,
+		CompletionTokens: answer.Usage.CompletionTokens,
+	}
+}
+
+// admit checks the form of a request and its key.
+func (s *inference) admit(message *inferencev1.GenerateRequest, header http.Header, procedure string) (Generation, *Refusal) {
+	if isMalformed(message) {
+		return Generation{}, NotRun(inferencev1.Reason_REASON_MALFORMED, "body is not a valid GenerateRequest")
+	}
+	request, refusal := requestID(message.GetRequestId())
+	if refusal != nil {
+		return Generation{}, refusal
+	}
+	_, route, known := s.backend.Route(procedure)
+	identity, key, refusal := authenticate(s.backend, header, known && route.Open)
+	if refusal == nil {
+		refusal = checkMessage(message, key)
+	}
+	if refusal != nil {
+		refusal.Request = request
+		return Generation{}, refusal
+	}
+	return Generation{
+		Request:   request,
+		Identity:  identity,
+		Adapter:   ids.AdapterID(message.GetAdapter()),
+		Version:   ids.AdapterVersion(message.GetVersion()),
+		Prompt:    message.GetPrompt(),
+		MaxTokens: message.GetMaxTokens(),
+		Priority:  message.GetPriority(),
+	}, nil
+}
+
+func checkMessage(message *inferencev1.GenerateRequest, key string) *Refusal {
+	if message.GetAdapter() == "" {
+		return NotRun(inferencev1.Reason_REASON_MALFORMED, "adapter is missing")
+	}
+	if message.GetMaxTokens() == 0 {
+		return NotRun(inferencev1.Reason_REASON_MALFORMED, "max_tokens is missing; it bounds the charge")
+	}
+	if key != "" && strings.Contains(message.GetPrompt(), key) {
+		return NotRun(inferencev1.Reason_REASON_MALFORMED, "the prompt contains the caller's key, which endpoints must not see")
+	}
+	return nil
+}
