--- /dev/null
+++ b/pkg/coordination/placement/plan.go
@@ -0,0 +1,304 @@
+package placement
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
+)
+
+// orderBook numbers the orders in flight.
+type orderBook struct {
+	mu      sync.Mutex
+	last    uint64
+	pending map[uint64]pendingOrder
+}
+
+type pendingOrder struct {
+	order Order
+	at    time.Time
+}
+
+func (b *orderBook) init() {
+	b.pending = make(map[uint64]pendingOrder)
+}
+
+func (b *orderBook) add(now time.Time, order Order) Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.last++
+	order.ID = b.last
+	b.pending[order.ID] = pendingOrder{order: order, at: now}
+	return order
+}
+
+func (b *orderBook) take(id uint64) (pendingOrder, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entry, ok := b.pending[id]
+	delete(b.pending, id)
+	return entry, ok
+}
+
+func (b *orderBook) overdue(now time.Time, term time.Duration) []uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []uint64
+	for id, entry := range b.pending {
+		if now.Sub(entry.at) > term {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Plan returns the orders to send now. The daemon calls it when demand or
+// residency changed and about every 50 ms while demand waits. It plans only
+// what the gate allows, and one load for all waiters of an adapter version.
+func (p *Planner) Plan(now time.Time, gate Gate) []Order {
+	for _, id := range p.orders.overdue(now, p.cfg.OrderTerm) {
+		p.OrderDone(now, id, ResultUnknown, gate)
+	}
+	var out []Order
+	for _, n := range p.rank(now, p.demand.needs(now)) {
+		order, step := p.planOne(now, n, gate)
+		if step == stepNoRight {
+			break
+		}
+		if step == stepOrdered {
+			p.demand.charge(n)
+			out = append(out, order)
+		}
+	}
+	return out
+}
+
+// Sweep forgets homes and backoffs whose time has passed. The daemon calls it
+// every few seconds.
+func (p *Planner) Sweep(now time.Time) {
+	p.homes.sweep(now)
+	p.backoff.sweep(now)
+}
+
+// rank orders demand: first the customer with the fewest loads so far, then by
+// policy the longest wait or the most waiters.
+func (p *Planner) rank(now time.Time, needs []need) []need {
+	least := make(map[demandKey]float64, len(needs))
+	for _, n := range needs {
+		least[n.key] = p.leastServed(n)
+	}
+	sort.Slice(needs, func(i, j int) bool {
+		a, b := needs[i], needs[j]
+		if p.cfg.Policy == records.PolicyThroughput && a.requests != b.requests {
+			return a.requests > b.requests
+		}
+		if least[a.key] != least[b.key] {
+			return least[a.key] < least[b.key]
+		}
+		if !a.since.Equal(b.since) {
+			return a.since.Before(b.since)
+		}
+		if a.key.ref != b.key.ref {
+			return lessRef(a.key.ref, b.key.ref)
+		}
+		return a.key.endpoint < b.key.endpoint
+	})
+	return needs
+}
+
+func (p *Planner) leastServed(n need) float64 {
+	least, found := 0.0, false
+	for customer := range n.customers {
+		if served := p.demand.servedOf(customer); !found || served < least {
+			least, found = served, true
+		}
+	}
+	return least
+}
+
+type step int
+
+const (
+	stepSkipped step = iota
+	stepOrdered
+	// stepNoRight means that no load right is left, for this or any other load.
+	stepNoRight
+)
+
+// planOne plans the load that one need asks for, or the eviction before it.
+func (p *Planner) planOne(now time.Time, n need, gate Gate) (Order, step) {
+	known := p.engine(n.key.endpoint)
+	if known == nil || p.backoff.active(now, n.key) || !p.ripe(now, n) {
+		return Order{}, stepSkipped
+	}
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	ref := n.key.ref
+	busy := known.loading[ref] || known.reserved[ref] || known.evicting[ref]
+	if !known.takesWork() || known.boot == "" || known.resident[ref] != nil || busy {
+		return Order{}, stepSkipped
+	}
+	if known.freeSlots() > 0 {
+		return p.planLoad(now, known, ref, gate)
+	}
+	return p.planEviction(now, known, n, gate)
+}
+
+// ripe tells whether a need is worth a load now. The throughput policy lets a
+// few requests wait, so that one load serves more of them.
+func (p *Planner) ripe(now time.Time, n need) bool {
+	if p.cfg.Policy != records.PolicyThroughput {
+		return true
+	}
+	return n.requests > 1 || now.Sub(n.since) >= p.cfg.Patience
+}
+
+func (p *Planner) planLoad(now time.Time, known *engine, ref ids.AdapterRef, gate Gate) (Order, step) {
+	fence, err := gate.MayLoad(now, known.id)
+	if p.rules.gate && err != nil {
+		return Order{}, stepSkipped
+	}
+	if !gate.TakeLoad(now) {
+		return Order{}, stepNoRight
+	}
+	known.loading[ref] = true
+	return p.orders.add(now, Order{Kind: OrderLoad, Endpoint: known.id, Ref: ref, Fence: fence, Boot: known.boot}), stepOrdered
+}
+
+func (p *Planner) planEviction(now time.Time, known *engine, n need, gate Gate) (Order, step) {
+	fence, err := gate.MayOrder(now, known.id)
+	if p.rules.gate && err != nil {
+		return Order{}, stepSkipped
+	}
+	victim, ok := p.victim(now, known, n, gate)
+	if !ok {
+		return Order{}, stepSkipped
+	}
+	if !gate.TakeLoad(now) {
+		return Order{}, stepNoRight
+	}
+	known.evicting[victim] = true
+	known.reserved[n.key.ref] = true
+	return p.orders.add(now, Order{
+		Kind: OrderEvict, Endpoint: known.id, Ref: victim, Fence: fence, Boot: known.boot, For: n.key.ref,
+	}), stepOrdered
+}
+
+// victim chooses the least valuable adapter that may be evicted. The value is
+// the decayed use times the cost of loading it again.
+func (p *Planner) victim(now time.Time, known *engine, n need, gate Gate) (ids.AdapterRef, bool) {
+	type candidate struct {
+		ref   ids.AdapterRef
+		value float64
+	}
+	var all []candidate
+	for ref, adapter := range known.resident {
+		if known.evicting[ref] || p.demand.count(demandKey{endpoint: known.id, ref: ref}) > 0 {
+			continue
+		}
+		all = append(all, candidate{ref: ref, value: adapter.value(now, p.cfg.HalfLife)})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].value != all[j].value {
+			return all[i].value < all[j].value
+		}
+		return lessRef(all[i].ref, all[j].ref)
+	})
+	for _, c := range all {
+		if !p.rules.gate || gate.MayEvict(now, known.id, c.ref) == nil {
+			return c.ref, true
+		}
+	}
+	return ids.AdapterRef{}, false
+}
+
+func (a *residentAdapter) value(now time.Time, halfLife time.Duration) float64 {
+	cost := 1.0
+	if a.loadCost > 0 {
+		cost = a.loadCost.Seconds() / nominalLoad.Seconds()
+	}
+	return a.use.read(now, halfLife) * cost
+}
+
+// nominalLoad is the duration of a load from an unloaded store.
+const nominalLoad = 250 * time.Millisecond
+
+// OrderDone takes the end of an order. For an eviction that was carried out it
+// returns the load that it made room for, to be sent like an order of Plan.
+func (p *Planner) OrderDone(now time.Time, id uint64, result Result, gate Gate) []Order {
+	entry, ok := p.orders.take(id)
+	if !ok {
+		return nil
+	}
+	known := p.engine(entry.order.Endpoint)
+	if entry.order.Kind == OrderLoad {
+		gate.EndLoad(now, result != ResultNotSent, result != ResultUnknown)
+		p.loadDone(now, known, entry, result)
+		return nil
+	}
+	return p.evictDone(now, known, entry, result, gate)
+}
+
+func (p *Planner) loadDone(now time.Time, known *engine, entry pendingOrder, result Result) {
+	order := entry.order
+	key := demandKey{endpoint: order.Endpoint, ref: order.Ref}
+	switch result {
+	case ResultDone:
+		p.backoff.succeeded(key)
+		p.homes.clear(order.Ref)
+		p.demand.drop(key)
+	case ResultFailed, ResultUnknown:
+		p.backoff.failed(now, key)
+		p.homes.clear(order.Ref)
+	}
+	if known == nil {
+		return
+	}
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	if p.rules.bootMatch && known.boot != order.Boot {
+		return
+	}
+	delete(known.loading, order.Ref)
+	if result != ResultDone {
+		return
+	}
+	adapter := &residentAdapter{knownAt: now, loadCost: now.Sub(entry.at)}
+	adapter.use.add(now, 1, p.cfg.HalfLife)
+	known.resident[order.Ref] = adapter
+	delete(known.gone, order.Ref)
+	p.places.add(order.Ref, order.Endpoint)
+}
+
+func (p *Planner) evictDone(now time.Time, known *engine, entry pendingOrder, result Result, gate Gate) []Order {
+	order := entry.order
+	if known == nil {
+		gate.EndLoad(now, false, true)
+		return nil
+	}
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	if known.boot != order.Boot {
+		gate.EndLoad(now, false, true)
+		return nil
+	}
+	delete(known.evicting, order.Ref)
+	delete(known.reserved, order.For)
+	if result != ResultDone {
+		gate.EndLoad(now, false, true)
+		return nil
+	}
+	delete(known.resident, order.Ref)
+	known.gone[order.Ref] = now
+	p.places.remove(order.Ref, order.Endpoint)
+	fence, err := gate.MayLoad(now, known.id)
+	if err != nil || !known.takesWork() {
+		gate.EndLoad(now, false, true)
+		return nil
+	}
+	known.loading[order.For] = true
+	return []Order{p.orders.add(now, Order{Kind: OrderLoad, Endpoint: known.id, Ref: order.For, Fence: fence, Boot: known.boot})}
+}
--- a/pkg/protocol/peer/endpoints.go
+++ b/pkg/protocol/peer/endpoints.go
@@ -139,11 +139,13 @@
 	Previous *platformapi.VMList `json:"previous,omitempty"`
 }
 
-// WaitingWork is the demand for one adapter version that waits at the sender.
+// WaitingWork is the demand of one customer for one adapter version that waits
+// at the sender.
 type WaitingWork struct {
 	// Endpoint is where the sender expects the adapter to be loaded.
 	Endpoint ids.EndpointID `json:"endpoint"`
 	Ref      ids.AdapterRef `json:"ref"`
+	Customer ids.CustomerID `json:"customer"`
 	// Requests is the number that waits now; it replaces the number of an
 	// earlier message, so that repeats count once.
 	Requests int `json:"requests"`
