--- /dev/null
+++ b/pkg/coordination/limits/gather.go
@@ -0,0 +1,250 @@
+package limits
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
+)
+
+const (
+	// ownWait is the time in which the own rate may cover a shortage before
+	// peers are asked; a shorter wait than this costs less than the messages.
+	ownWait = 20 * time.Millisecond
+	// silentRetry is the wait after an ask without a reply: the peer is
+	// probably cut off or gone.
+	silentRetry = time.Second
+	// releaseMargin is how long before their end unused reserves are released,
+	// so that a late wake-up does not lose them.
+	releaseMargin = 10 * time.Millisecond
+	// farScan bounds the peers of other data centres looked at per decision.
+	farScan = 64
+)
+
+// hint is what a peer last said about a customer.
+type hint struct {
+	at      int64
+	left    int64
+	retryAt int64
+}
+
+// learn remembers what a reply says about its sender.
+func (t *Table) learn(b *bucket, now int64, reply peer.LimitsBorrowReply) {
+	retry := time.Duration(min(reply.RetryMillis, int64(maxRetry/time.Millisecond))) * time.Millisecond
+	b.remember(reply.From, hint{at: now, left: min(reply.Left, maxCost) * micro, retryAt: now + int64(retry)})
+}
+
+func (b *bucket) remember(vm ids.VMID, h hint) {
+	if b.hints == nil {
+		b.hints = map[ids.VMID]hint{}
+	}
+	b.hints[vm] = h
+}
+
+// process grants and refuses waiting requests, releases what is no longer
+// needed, asks peers for what is missing and sets the next wake time.
+func (t *Table) process(sh *tableShard, b *bucket, now int64, out *Outcome) {
+	s := t.touch(b, now)
+	t.expireReserve(sh, b, s, now, out)
+	t.expireAsks(b, now)
+	t.serve(sh, b, s, now, out)
+	if len(b.waiting) == 0 {
+		t.release(sh, b, s, now, len(b.reserve), out)
+		b.waiting = nil
+		return
+	}
+	short := t.shortage(b)
+	if short > 0 && earnTime(s.rate, short) > ownWait {
+		t.ask(sh, b, s, now, short, out)
+	}
+	out.WakeAt = t.start.Add(time.Duration(t.wakeAt(b, s, now)))
+}
+
+// serve grants waiting requests in order and refuses those past their
+// deadline. Order is strict, so that small requests do not starve a large one.
+func (t *Table) serve(sh *tableShard, b *bucket, s share, now int64, out *Outcome) {
+	kept := b.waiting[:0]
+	blocked := false
+	for _, w := range b.waiting {
+		switch {
+		case now >= w.deadline:
+			sh.counters.Refused++
+			out.Refused = append(out.Refused, Refusal{
+				Ticket: w.ticket, Reason: ReasonOverRate,
+				RetryAfter: max(earnTime(shareMicro(b.policy.Rate, 1), w.cost), time.Millisecond),
+			})
+		case !blocked && w.cost <= b.level+b.reserved():
+			out.Granted = append(out.Granted, Grant{Ticket: w.ticket, Charge: t.charge(sh, b, s, now, w.cost)})
+		default:
+			blocked = true
+			kept = append(kept, w)
+		}
+	}
+	b.waiting = kept
+}
+
+func (b *bucket) reserved() int64 {
+	sum := int64(0)
+	for _, r := range b.reserve {
+		sum += r.amount
+	}
+	return sum
+}
+
+// shortage returns what the waiting requests lack, counting open asks.
+func (t *Table) shortage(b *bucket) int64 {
+	short := -b.level - b.reserved()
+	for _, w := range b.waiting {
+		short += w.cost
+	}
+	for _, a := range b.asks {
+		if !a.answered {
+			short -= a.need
+		}
+	}
+	return short
+}
+
+// expireReserve releases borrowed tokens whose time is over.
+func (t *Table) expireReserve(sh *tableShard, b *bucket, s share, now int64, out *Outcome) {
+	slices.SortStableFunc(b.reserve, func(x, y reserved) int { return cmp.Compare(x.expires, y.expires) })
+	expired := 0
+	for expired < len(b.reserve) && b.reserve[expired].expires-int64(releaseMargin) <= now {
+		expired++
+	}
+	t.release(sh, b, s, now, expired, out)
+}
+
+// release puts the first n reserves into the level as far as there is room and
+// returns the rest to its lenders. Tokens that woke past their time are lost.
+func (t *Table) release(sh *tableShard, b *bucket, s share, now int64, n int, out *Outcome) {
+	for _, r := range b.reserve[:n] {
+		kept := int64(0)
+		if now <= r.expires {
+			kept = t.deposit(b, s, now, r.amount)
+		}
+		if rest := (r.amount - kept) / micro; rest > 0 {
+			sh.counters.TokensReturned += rest
+			out.Returns = append(out.Returns, Return{To: r.lender, Message: peer.LimitsReturn{
+				Ask: r.ask, From: t.self, Customer: b.customer, Amount: rest,
+			}})
+		}
+	}
+	b.reserve = b.reserve[n:]
+	if len(b.reserve) == 0 {
+		b.reserve = nil
+	}
+}
+
+// expireAsks forgets asks whose reply could no longer be used.
+func (t *Table) expireAsks(b *bucket, now int64) {
+	if !t.rules.dropLate {
+		return
+	}
+	kept := b.asks[:0]
+	for _, a := range b.asks {
+		if now-a.sent <= t.acceptAge() {
+			kept = append(kept, a)
+			continue
+		}
+		if !a.answered {
+			b.remember(a.to, hint{at: now, retryAt: now + int64(silentRetry)})
+		}
+	}
+	b.asks = kept
+	if len(kept) == 0 {
+		b.asks = nil
+	}
+}
+
+// candidate is a peer that may be asked and what it probably has.
+type candidate struct {
+	vm       ids.VMID
+	expected int64
+}
+
+// ask asks peers for a shortage, those of the own data centre first.
+func (t *Table) ask(sh *tableShard, b *bucket, s share, now, short int64, out *Outcome) {
+	peers := t.peers.Load()
+	chosen := t.pick(b, now, peers.vms[:peers.near], &short, nil)
+	if far := peers.vms[peers.near:]; short > 0 && len(far) > 0 {
+		from := b.cursor % len(far)
+		scan := append(slices.Clone(far[from:min(len(far), from+farScan)]), far[:min(from, max(0, from+farScan-len(far)))]...)
+		chosen = t.pick(b, now, scan, &short, chosen)
+		b.cursor = from + len(chosen)
+	}
+	if len(chosen) == 0 {
+		return
+	}
+	spare := max((s.cap/2-b.level)/int64(len(chosen)), 0) / micro
+	for _, c := range chosen {
+		need := (c.expected + micro - 1) / micro
+		id := t.nextAsk.Add(1)
+		b.asks = append(b.asks, openAsk{id: id, to: c.vm, sent: now, need: need * micro})
+		sh.counters.AsksSent++
+		out.Asks = append(out.Asks, Ask{To: c.vm, Request: peer.LimitsBorrowRequest{
+			Ask: id, From: t.self, Customer: b.customer, Need: need, Spare: spare,
+		}})
+	}
+}
+
+// pick adds peers to the chosen ones, the fullest first, until the shortage is
+// covered or the fan-out is reached.
+func (t *Table) pick(b *bucket, now int64, vms []VM, short *int64, chosen []candidate) []candidate {
+	var able []candidate
+	for _, vm := range vms {
+		if expected := t.expected(b, now, vm); expected >= micro {
+			able = append(able, candidate{vm: vm.ID, expected: expected})
+		}
+	}
+	slices.SortStableFunc(able, func(x, y candidate) int { return cmp.Compare(y.expected, x.expected) })
+	for _, c := range able {
+		if *short <= 0 || len(chosen) >= t.cfg.Fanout {
+			break
+		}
+		c.expected = min(c.expected, *short)
+		*short -= c.expected
+		chosen = append(chosen, c)
+	}
+	return chosen
+}
+
+// expected returns what a peer probably has, or 0 if it must not be asked now.
+func (t *Table) expected(b *bucket, now int64, vm VM) int64 {
+	for _, a := range b.asks {
+		if a.to == vm.ID && !a.answered {
+			return 0
+		}
+	}
+	s := t.shareAt(b, b.policy.fraction(vm.DataCentre))
+	h, heard := b.hints[vm.ID]
+	switch {
+	case !heard:
+		return s.cap / 2
+	case h.retryAt > now:
+		return 0
+	}
+	return max(min(s.cap, h.left+accrual(s.rate, now-h.at)), micro)
+}
+
+// wakeAt returns the next time at which the state changes by itself.
+func (t *Table) wakeAt(b *bucket, s share, now int64) int64 {
+	wake := now + int64(earnTime(s.rate, b.waiting[0].cost-b.level-b.reserved()))
+	for _, w := range b.waiting {
+		wake = min(wake, w.deadline)
+	}
+	for _, r := range b.reserve {
+		wake = min(wake, r.expires-int64(releaseMargin))
+	}
+	for _, a := range b.asks {
+		wake = min(wake, a.sent+t.acceptAge()+1)
+	}
+	for _, h := range b.hints {
+		if h.retryAt > now {
+			wake = min(wake, h.retryAt)
+		}
+	}
+	return max(wake, now+1)
+}
