--- a/pkg/coordination/placement/home.go
+++ b/pkg/coordination/placement/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,53 +19,66 @@
 // unluckiest of a dozen engines.
 const loadBoundFactor = 1.25
 
-// placeIndex finds endpoints by resident adapter version.
+// Holding is one adapter version on one endpoint, with the run of the engine
+// in which it is resident.
+type Holding struct {
+	Endpoint ids.EndpointID
+	Ref      ids.AdapterRef
+	Boot     ids.BootID
+}
+
+// place is one adapter version on one endpoint.
+type place struct {
+	ref      ids.AdapterRef
+	endpoint ids.EndpointID
+}
+
+// placeIndex finds endpoints by resident adapter.
 type placeIndex struct {
 	shards [shardCount]struct {
 		mu     sync.RWMutex
-		places map[ids.AdapterRef][]ids.EndpointID
+		places map[ids.AdapterID][]place
 	}
 }
 
 func (x *placeIndex) init() {
 	for i := range x.shards {
-		x.shards[i].places = make(map[ids.AdapterRef][]ids.EndpointID)
+		x.shards[i].places = make(map[ids.AdapterID][]place)
 	}
 }
 
-func shardOf(ref ids.AdapterRef) int {
-	return int(xxh3.HashString(string(ref.Adapter)) % shardCount)
+func shardOf(adapter ids.AdapterID) int {
+	return int(xxh3.HashString(string(adapter)) % shardCount)
 }
 
 func (x *placeIndex) add(ref ids.AdapterRef, id ids.EndpointID) {
-	shard := &x.shards[shardOf(ref)]
+	shard := &x.shards[shardOf(ref.Adapter)]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	for _, known := range shard.places[ref] {
-		if known == id {
-			return
-		}
+	added := place{ref: ref, endpoint: id}
+	known := shard.places[ref.Adapter]
+	if slices.Contains(known, added) {
+		return
 	}
 	// Readers keep the old slice, so the new one must not share its array.
-	known := shard.places[ref]
-	shard.places[ref] = append(known[:len(known):len(known)], id)
+	shard.places[ref.Adapter] = append(known[:len(known):len(known)], added)
 }
 
 func (x *placeIndex) remove(ref ids.AdapterRef, id ids.EndpointID) {
-	shard := &x.shards[shardOf(ref)]
+	shard := &x.shards[shardOf(ref.Adapter)]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	var kept []ids.EndpointID
-	for _, known := range shard.places[ref] {
-		if known != id {
+	var kept []place
+	for _, known := range shard.places[ref.Adapter] {
+		if known != (place{ref: ref, endpoint: id}) {
 			kept = append(kept, known)
 		}
 	}
 	if len(kept) == 0 {
-		delete(shard.places, ref)
+		delete(shard.places, ref.Adapter)
 		return
 	}
-	shard.places[ref] = kept
+	shard.places[ref.Adapter] = kept
 }
 
 func (x *placeIndex) removeAll(id ids.EndpointID, refs []ids.AdapterRef) {
@@ -73,11 +87,11 @@
 	}
 }
 
-func (x *placeIndex) of(ref ids.AdapterRef) []ids.EndpointID {
-	shard := &x.shards[shardOf(ref)]
+func (x *placeIndex) of(adapter ids.AdapterID) []place {
+	shard := &x.shards[shardOf(adapter)]
 	shard.mu.RLock()
 	defer shard.mu.RUnlock()
-	return shard.places[ref]
+	return shard.places[adapter]
 }
 
 // homeBook remembers which endpoint was chosen for a load, so that all waiters
--- a/pkg/coordination/placement/planner.go
+++ b/pkg/coordination/placement/planner.go
@@ -162,9 +162,17 @@
 	}
 }
 
-// Locations lists the endpoints at which an adapter version is resident.
-func (p *Planner) Locations(ref ids.AdapterRef) []ids.EndpointID {
-	return p.places.of(ref)
+// Holders lists the endpoints that hold any version of an adapter, as far as
+// is known, and are not about to evict it. Routing calls it for each request.
+func (p *Planner) Holders(adapter ids.AdapterID) []Holding {
+	places := p.places.of(adapter)
+	out := make([]Holding, 0, len(places))
+	for _, at := range places {
+		if boot, ok := p.Resident(at.endpoint, at.ref); ok {
+			out = append(out, Holding{Endpoint: at.endpoint, Ref: at.ref, Boot: boot})
+		}
+	}
+	return out
 }
 
 // Served notes that n requests for an adapter version began on an endpoint.
--- a/pkg/coordination/placement/residency.go
+++ b/pkg/coordination/placement/residency.go
@@ -16,9 +16,9 @@
 
 // engine is what is known of one model endpoint.
 type engine struct {
-	mu     sync.Mutex
-	id     ids.EndpointID
-	record records.Endpoint
+	mu          sync.Mutex
+	id          ids.EndpointID
+	record      records.Endpoint
 	unreachable bool
 	boot        ids.BootID
 	retired     []ids.BootID
--- /dev/null
+++ b/pkg/coordination/routing/profile.go
@@ -0,0 +1,95 @@
+package routing
+
+import (
+	"errors"
+	"math/rand/v2"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
+)
+
+// ErrNoEndpoint means that no endpoint passed the filters.
+var ErrNoEndpoint = errors.New("no endpoint can take the request")
+
+// Profile is a chain of filters, scorers and a picker. It is immutable and
+// safe for concurrent use.
+type Profile struct {
+	Filters []Filter
+	Scorers []WeightedScorer
+	Picker  Picker
+}
+
+// ModelProfile returns the chain for requests to a model, sent only where the
+// exact adapter version is resident.
+func ModelProfile(policy records.Policy) Profile {
+	weights := latencyWeights
+	if policy == records.PolicyThroughput {
+		weights = throughputWeights
+	}
+	return Profile{
+		Filters: []Filter{NotTried{}, Serving{}, Reachable{}, OfKind{}, ExactVersion{}, HasRoom{}},
+		Scorers: weights.scorers(),
+		Picker:  BestOfTwo{},
+	}
+}
+
+// ServiceProfile returns the chain for requests to a plain service.
+func ServiceProfile() Profile {
+	return Profile{
+		Filters: []Filter{NotTried{}, Serving{}, Reachable{}, OfKind{}},
+		Scorers: []WeightedScorer{{Scorer: LeastLoad{}, Weight: 1}, {Scorer: Nearest{}, Weight: 1}},
+		Picker:  BestOfTwo{},
+	}
+}
+
+// scoreWeights are the shares of the scorers of a model profile.
+type scoreWeights struct {
+	pinned, load, distance, prefix float64
+}
+
+// The latency policy spreads requests over replicas; the throughput policy
+// fills the batch of one replica before it uses the next.
+var (
+	latencyWeights    = scoreWeights{pinned: 3, load: 2, distance: 0.5, prefix: 1}
+	throughputWeights = scoreWeights{pinned: 3, load: -0.5, distance: 0.5, prefix: 1}
+)
+
+func (w scoreWeights) scorers() []WeightedScorer {
+	return []WeightedScorer{
+		{Scorer: IsPinned{}, Weight: w.pinned},
+		{Scorer: LeastLoad{}, Weight: w.load},
+		{Scorer: Nearest{}, Weight: w.distance},
+		{Scorer: PrefixAffinity{}, Weight: w.prefix},
+	}
+}
+
+// Pick chooses an endpoint for a request.
+func (p Profile) Pick(request *Request, candidates []Candidate, random *rand.Rand) (Candidate, error) {
+	var scored []Scored
+	for i := range candidates {
+		if !p.keep(request, &candidates[i]) {
+			continue
+		}
+		scored = append(scored, Scored{Candidate: candidates[i], Score: p.score(request, &candidates[i])})
+	}
+	if len(scored) == 0 {
+		return Candidate{}, ErrNoEndpoint
+	}
+	return p.Picker.Pick(scored, random).Candidate, nil
+}
+
+func (p Profile) keep(request *Request, candidate *Candidate) bool {
+	for _, filter := range p.Filters {
+		if !filter.Keep(request, candidate) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p Profile) score(request *Request, candidate *Candidate) float64 {
+	total := 0.0
+	for _, weighted := range p.Scorers {
+		total += weighted.Weight * weighted.Scorer.Score(request, candidate)
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/coordination/routing/types.go
@@ -0,0 +1,86 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
+)
+
+// Request is what routing knows of a request.
+type Request struct {
+	Kind records.EndpointKind
+	// Ref and BaseModel are set for requests to a model.
+	Ref       ids.AdapterRef
+	BaseModel string
+	// Service is set for requests to a plain service.
+	Service string
+	// Prefix is a hash of the start of the prompt, or zero.
+	Prefix uint64
+	// Deadline is when the request must have ended.
+	Deadline time.Time
+	// Tried lists endpoints that a retry must leave out.
+	Tried []ids.EndpointID
+}
+
+// Distance tells how far an endpoint is from this VM.
+type Distance int
+
+// The distances.
+const (
+	SameDataCentre Distance = iota
+	SameRegion
+	Far
+)
+
+// Candidate is one endpoint as it stands at the time of the decision.
+type Candidate struct {
+	Endpoint ids.EndpointID
+	Record   records.Endpoint
+	// Resident is the version of the request's adapter that the endpoint
+	// holds, or zero if it holds none.
+	Resident ids.AdapterRef
+	// Boot is the run of the engine in which it is resident.
+	Boot ids.BootID
+	// Pinned tells that this VM holds a pin that covers the request's deadline.
+	Pinned    bool
+	Reachable bool
+	// Load is the number of requests that run or wait at the endpoint.
+	Load     int
+	Distance Distance
+	// PrefixHit tells that the endpoint served the same prompt prefix lately.
+	PrefixHit bool
+}
+
+// Filter leaves out endpoints that a request must not be sent to. Profile.Pick
+// calls it for each candidate of each request, before any Scorer.
+type Filter interface {
+	// Keep reports whether the candidate may be used.
+	Keep(request *Request, candidate *Candidate) bool
+}
+
+// Scorer rates candidates that passed all filters. Profile.Pick calls it once
+// for each of them; the weighted sum of all scorers counts.
+type Scorer interface {
+	// Score returns a value from 0 (worst) to 1 (best).
+	Score(request *Request, candidate *Candidate) float64
+}
+
+// Picker takes one of the scored candidates. Profile.Pick calls it last, with
+// at least one candidate. All randomness of a decision lies here.
+type Picker interface {
+	Pick(scored []Scored, random *rand.Rand) Scored
+}
+
+// Scored is a candidate with its weighted score.
+type Scored struct {
+	Candidate Candidate
+	Score     float64
+}
+
+// WeightedScorer is a Scorer with its share of the score.
+type WeightedScorer struct {
+	Scorer Scorer
+	Weight float64
+}
