--- /dev/null
+++ b/pkg/daemon/request.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/lifecycle"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
+	"github.com/wagtailspoke/wagtailspoke/pkg/state/catalog"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/callers"
+)
+
+// requestState is a lifecycle.Request behind a lock: net/http asks from its
+// own goroutine whether bytes may leave, possibly after the attempt has ended.
+type requestState struct {
+	mu      sync.Mutex
+	request *lifecycle.Request
+}
+
+func newRequestState(config lifecycle.Config) *requestState {
+	return &requestState{request: lifecycle.New(config)}
+}
+
+// Commit starts an attempt.
+func (s *requestState) Commit(now time.Time, endpoint ids.EndpointID) (lifecycle.Attempt, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.request.Commit(now, endpoint)
+}
+
+// MaySend tells whether bytes of an attempt may leave.
+func (s *requestState) MaySend(now time.Time, attempt lifecycle.Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.request.MaySend(now, attempt)
+}
+
+// PassedOn records that a part of the answer reached the caller.
+func (s *requestState) PassedOn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.request.PassedOn()
+}
+
+// Finish records the end of an attempt.
+func (s *requestState) Finish(now time.Time, attempt lifecycle.Attempt, result lifecycle.Result, evidence lifecycle.Evidence) (lifecycle.Decision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.request.Finish(now, attempt, result, evidence)
+}
+
+// Refuse ends the request between attempts.
+func (s *requestState) Refuse(reason inferencev1.Reason, retryAfter time.Duration) (lifecycle.Decision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.request.Refuse(reason, retryAfter)
+}
+
+// Ending returns how the request ended. A request that was to be sent again
+// but is not ends here.
+func (s *requestState) Ending() (lifecycle.Outcome, inferencev1.Reason, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.request.State() != lifecycle.Ended {
+		s.request.Abandon()
+	}
+	return s.request.Ending()
+}
+
+// Attempts returns how many attempts were committed.
+func (s *requestState) Attempts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.request.Attempts()
+}
+
+// keyCheck checks a caller's key again and again. The same view of the
+// records is searched once.
+type keyCheck struct {
+	view atomic.Pointer[catalog.View]
+}
+
+// check tells whether the key of an admitted request is still in force.
+func (k *keyCheck) check(d *Daemon, identity callers.Identity) error {
+	if identity.Open || !d.rules.keyAtDispatch {
+		return nil
+	}
+	view := d.catalog.View()
+	if view == k.view.Load() {
+		return nil
+	}
+	customer, state := view.CustomerByKey(catalog.KeyHash(identity.Hash))
+	if state != catalog.KeyActive || customer != identity.Customer {
+		return errKeyWithdrawn
+	}
+	k.view.Store(view)
+	return nil
+}
--- a/pkg/transport/engines/client.go
+++ b/pkg/transport/engines/client.go
@@ -90,6 +90,8 @@
 	// freshConnections sends calls that may not be repeated on connections
 	// of their own, and without an Idempotency-Key header.
 	freshConnections bool
+	// sendOnce lets the bytes of a call leave on one connection only.
+	sendOnce bool
 	// closeSilent closes the pool of an endpoint after a silent connection.
 	closeSilent bool
 	// matchAnswers compares the model and id of answers with the request's.
@@ -102,7 +104,7 @@
 func New(config Config) *Client {
 	c := &Client{
 		config: config,
-		rules:  rules{freshConnections: true, closeSilent: true, matchAnswers: true, wholeStreams: true},
+		rules:  rules{freshConnections: true, sendOnce: true, closeSilent: true, matchAnswers: true, wholeStreams: true},
 		pools:  make(map[string]*http.Transport),
 	}
 	c.fresh = c.newTransport()
@@ -177,10 +179,21 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	watchdog *time.Timer
-	sent     atomic.Bool
+	progress atomic.Int32
 }
 
-var errSilent = errors.New("no byte within the allowed time")
+// The progress of a call. A call that failed before its first byte left is
+// closed, so that net/http's writer, which may still run, writes nothing.
+const (
+	progressPending int32 = iota
+	progressSent
+	progressClosed
+)
+
+var (
+	errSilent = errors.New("no byte within the allowed time")
+	errEnded  = errors.New("the call has ended")
+)
 
 // start opens a call whose context ends when no byte arrives for the
 // client's silence bound.
@@ -274,6 +287,15 @@
 	g.next.Store(&gatedRequest{call: c, gate: gate})
 }
 
+// begin notes that bytes leave. It allows one connection a call, whatever
+// net/http takes for replayable.
+func (c *call) begin() bool {
+	if c.progress.CompareAndSwap(progressPending, progressSent) {
+		return true
+	}
+	return !c.client.rules.sendOnce && c.progress.Load() == progressSent
+}
+
 func (g *gatedConn) Write(buffer []byte) (int, error) {
 	request := g.next.Swap(nil)
 	if request == nil {
@@ -284,10 +306,12 @@
 			return 0, &gateError{err}
 		}
 	}
-	request.call.sent.Store(true)
+	if !request.call.begin() {
+		return 0, &gateError{errEnded}
+	}
 	n, err := g.Conn.Write(buffer)
 	if n == 0 && err != nil {
-		request.call.sent.Store(false)
+		request.call.progress.CompareAndSwap(progressSent, progressPending)
 	}
 	return n, err
 }
@@ -323,7 +347,8 @@
 	if cause == CauseSilent && c.client.rules.closeSilent {
 		c.client.pool(c.endpoint.Address).CloseIdleConnections()
 	}
-	return &Failure{Endpoint: c.endpoint.ID, Step: c.step, Cause: cause, Sent: c.sent.Load(), Err: err}
+	sent := !c.progress.CompareAndSwap(progressPending, progressClosed) && c.progress.Load() == progressSent
+	return &Failure{Endpoint: c.endpoint.ID, Step: c.step, Cause: cause, Sent: sent, Err: err}
 }
 
 // transportFailure classifies an error of net/http.
