--- a/pkg/coordination/limits/admit.go
+++ b/pkg/coordination/limits/admit.go
@@ -123,19 +123,19 @@
 
 // Refund credits the unused part of a charge at the end of its request, and all
 // of it if the request did not run. The credit is clipped so that the level
-// since the charge would not have passed the cap. It may grant waiting
-// requests.
-func (t *Table) Refund(now time.Time, c *Charge, unused int64) Outcome {
+// since the charge would not have passed the cap. It returns the tokens
+// credited; the outcome may grant waiting requests.
+func (t *Table) Refund(now time.Time, c *Charge, unused int64) (int64, Outcome) {
 	var out Outcome
 	if c == nil {
-		return out
+		return 0, out
 	}
 	sh := t.shard(c.Customer)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	b := sh.buckets[c.Customer]
 	if b == nil || c.settled {
-		return out
+		return 0, out
 	}
 	c.settled = true
 	at := t.nanos(now)
@@ -150,7 +150,7 @@
 	if len(b.waiting) > 0 {
 		t.process(sh, b, at, &out)
 	}
-	return out
+	return credit / micro, out
 }
 
 // Cancel ends the wait of a request whose caller is gone.
--- a/pkg/coordination/limits/gather.go
+++ b/pkg/coordination/limits/gather.go
@@ -47,9 +47,10 @@
 // needed, asks peers for what is missing and sets the next wake time.
 func (t *Table) process(sh *tableShard, b *bucket, now int64, out *Outcome) {
 	s := t.touch(b, now)
-	t.expireReserve(sh, b, s, now, out)
+	t.releaseBefore(sh, b, s, now, now, out)
 	t.expireAsks(b, now)
 	t.serve(sh, b, s, now, out)
+	t.releaseBefore(sh, b, s, now, now+int64(releaseMargin)+1, out)
 	if len(b.waiting) == 0 {
 		t.release(sh, b, s, now, len(b.reserve), out)
 		b.waiting = nil
@@ -107,11 +108,11 @@
 	return short
 }
 
-// expireReserve releases borrowed tokens whose time is over.
-func (t *Table) expireReserve(sh *tableShard, b *bucket, s share, now int64, out *Outcome) {
+// releaseBefore releases borrowed tokens whose time ends before a limit.
+func (t *Table) releaseBefore(sh *tableShard, b *bucket, s share, now, limit int64, out *Outcome) {
 	slices.SortStableFunc(b.reserve, func(x, y reserved) int { return cmp.Compare(x.expires, y.expires) })
 	expired := 0
-	for expired < len(b.reserve) && b.reserve[expired].expires-int64(releaseMargin) <= now {
+	for expired < len(b.reserve) && b.reserve[expired].expires < limit {
 		expired++
 	}
 	t.release(sh, b, s, now, expired, out)
@@ -178,9 +179,12 @@
 	if len(chosen) == 0 {
 		return
 	}
+	// What the peers are not expected to have is asked for all the same, in
+	// equal parts: expectations are low where nothing was heard.
+	extra := max(short, 0) / int64(len(chosen))
 	spare := max((s.cap/2-b.level)/int64(len(chosen)), 0) / micro
 	for _, c := range chosen {
-		need := (c.expected + micro - 1) / micro
+		need := (c.expected + extra + micro - 1) / micro
 		id := t.nextAsk.Add(1)
 		b.asks = append(b.asks, openAsk{id: id, to: c.vm, sent: now, need: need * micro})
 		sh.counters.AsksSent++
--- a/pkg/coordination/limits/history.go
+++ b/pkg/coordination/limits/history.go
@@ -50,7 +50,8 @@
 	return sort.Search(len(h.marks), func(i int) bool { return h.marks[i].seq > seq }) - 1
 }
 
-// settle closes a charge and returns how much of want may be credited.
+// settle closes a charge and returns how much of want may be credited, in whole
+// tokens.
 func (h *history) settle(seq uint64, want int64) int64 {
 	at := h.find(seq)
 	if at < 0 {
@@ -60,7 +61,7 @@
 	for i := at; i < len(h.marks); i++ {
 		credit = min(credit, h.marks[i].headroom)
 	}
-	credit = max(credit, 0)
+	credit = max(credit-credit%micro, 0)
 	for i := at; i < len(h.marks); i++ {
 		h.marks[i].headroom -= credit
 	}
--- a/pkg/coordination/limits/lend.go
+++ b/pkg/coordination/limits/lend.go
@@ -15,6 +15,9 @@
 	// loanMemory is how long a loan may be returned; borrowers return within
 	// TransferMaxAge.
 	loanMemory = 2 * time.Second
+	// retryPart is the part of the cap after which a lender that fell short is
+	// worth asking again.
+	retryPart = 8
 	// maxLoans bounds the remembered loans of one bucket.
 	maxLoans = 32
 )
@@ -42,7 +45,7 @@
 	reply.Granted += min(max(req.Spare, 0), surplus)
 	t.lend(sh, b, s, at, req, reply.Granted*micro)
 	if reply.Granted < need {
-		wanted := min((need-reply.Granted)*micro, s.cap/2)
+		wanted := min((need-reply.Granted)*micro, s.cap/retryPart)
 		reply.RetryMillis = max(earnTime(s.rate, wanted), minRetry).Milliseconds()
 	}
 	reply.Left = b.level / micro
--- /dev/null
+++ b/pkg/coordination/limits/rules_test.go
@@ -0,0 +1,274 @@
+package limits_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	sim "github.com/wagtailspoke/wagtailspoke/internal/bench/limits"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/limits"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
+)
+
+// TestMain fixes the seed and the size of the property tests, so that CI gives
+// the same verdict every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "11", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// pair is two VMs in two data centres with messages carried by hand. Each has
+// half of 1,000 tokens/s and 4,000 tokens burst.
+type pair struct {
+	t      *testing.T
+	rules  limits.Rules
+	now    time.Time
+	a, b   *limits.Table
+	grants []sim.Grant
+}
+
+var (
+	vmA = limits.VM{ID: "a1", DataCentre: "dc0"}
+	vmB = limits.VM{ID: "b1", DataCentre: "dc1"}
+)
+
+func pairPolicy(revision ids.Revision, weightA, weightB float64) limits.Policy {
+	return limits.Policy{Revision: revision, Rate: 1000, Burst: 4000, DataCentres: map[ids.DataCentreID]limits.DataCentre{
+		"dc0": {Seats: 1, Weight: weightA}, "dc1": {Seats: 1, Weight: weightB},
+	}}
+}
+
+// newPair returns two VMs that have run long enough to be full.
+func newPair(t *testing.T, rules limits.Rules) *pair {
+	p := &pair{t: t, rules: rules, now: time.Unix(1_700_000_000, 0)}
+	p.a, p.b = p.table(vmA), p.table(vmB)
+	for _, table := range []*limits.Table{p.a, p.b} {
+		p.join(table, pairPolicy(1, 1, 1))
+	}
+	p.pass(time.Minute)
+	return p
+}
+
+func (p *pair) table(vm limits.VM) *limits.Table {
+	return limits.NewWithRules(p.rules)(limits.DefaultConfig(), vm, p.now)
+}
+
+// join gives a VM the list and a policy that all VMs have acknowledged.
+func (p *pair) join(table *limits.Table, policy limits.Policy) {
+	table.SetView(p.now, limits.View{VMs: []limits.VM{vmA, vmB}, ConfirmedAt: p.now})
+	table.Apply(p.now, customer, policy)
+	for _, vm := range []limits.VM{vmA, vmB} {
+		table.ObserveApplied(vm.ID, policy.Revision)
+	}
+	table.Snapshot(p.now)
+}
+
+func (p *pair) pass(d time.Duration) { p.now = p.now.Add(d) }
+
+func (p *pair) record(cost int64) {
+	p.grants = append(p.grants, sim.Grant{At: p.now.Sub(time.Unix(1_700_000_000, 0)), Tokens: cost})
+}
+
+// admit offers a request and records its grant.
+func (p *pair) admit(table *limits.Table, cost int64) limits.Decision {
+	d := table.Admit(p.now, customer, cost, p.now.Add(time.Second))
+	if d.Verdict == limits.Granted {
+		p.record(cost)
+	}
+	return d
+}
+
+// take admits whatever a VM has.
+func (p *pair) take(table *limits.Table) limits.Decision {
+	level := int64(table.Snapshot(p.now).Customers[0].Level)
+	d := p.admit(table, level)
+	assert.Equal(p.t, d.Verdict, limits.Granted)
+	return d
+}
+
+// deliver passes a reply to a VM and records what it grants.
+func (p *pair) deliver(table *limits.Table, reply peer.LimitsBorrowReply) {
+	for _, g := range table.Receive(p.now, reply).Granted {
+		p.record(g.Charge.Cost)
+	}
+}
+
+func (p *pair) excess() float64 {
+	return sim.Excess(p.grants, []sim.Limit{{Rate: 1000, Burst: 4000}})
+}
+
+// borrowed lets B admit more than it has and returns A's answer.
+func (p *pair) borrowed(cost int64) peer.LimitsBorrowReply {
+	d := p.admit(p.b, cost)
+	assert.Equal(p.t, len(d.Outcome.Asks), 1)
+	return p.a.Lend(p.now, d.Outcome.Asks[0].Request)
+}
+
+// TestRules shows for each rule that the window checker finds a violation with
+// the rule switched off, and none with it on.
+func TestRules(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		off  limits.Rules
+		run  func(p *pair)
+	}{
+		{"the lender deducts before it answers", limits.NoDeduct, func(p *pair) {
+			p.deliver(p.b, p.borrowed(3000))
+			p.take(p.a)
+		}},
+		{"answers older than TransferMaxAge are dropped", limits.AcceptLate, func(p *pair) {
+			late := p.borrowed(3000)
+			p.pass(20 * time.Second)
+			p.b.Wake(p.now, customer)
+			p.admit(p.b, 3000)
+			p.deliver(p.b, late)
+			p.take(p.a)
+		}},
+		{"repeated answers are dropped", limits.AcceptRepeat, func(p *pair) {
+			reply := p.borrowed(3000)
+			p.deliver(p.b, reply)
+			p.admit(p.b, 1000)
+			p.deliver(p.b, reply)
+			p.take(p.a)
+		}},
+		{"the cap is lowered by rate * TransferMaxAge", limits.FullCap, func(p *pair) {
+			reply := p.borrowed(3700)
+			p.pass(240 * time.Millisecond)
+			p.deliver(p.b, reply)
+			p.take(p.a)
+			p.take(p.b)
+		}},
+		{"a VM starts empty", limits.FullStart, func(p *pair) {
+			p.take(p.a)
+			p.take(p.b)
+			p.a = p.table(vmA)
+			p.join(p.a, pairPolicy(1, 1, 1))
+			p.take(p.a)
+		}},
+		{"a refund is clipped by the peak since the charge", limits.WholeRefund, func(p *pair) {
+			first := p.take(p.a)
+			p.pass(time.Minute)
+			p.take(p.a)
+			refunded, _ := p.a.Refund(p.now, first.Charge, first.Charge.Cost)
+			p.grants[0].Tokens -= refunded
+			p.take(p.a)
+			p.take(p.b)
+		}},
+		{"a raised share waits for acknowledgements", limits.RaiseAtOnce, func(p *pair) {
+			p.b.Apply(p.now, customer, pairPolicy(2, 1, 9))
+			p.b.ObserveApplied(vmB.ID, 2)
+			p.pass(time.Minute)
+			p.take(p.a)
+			p.take(p.b)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			on, off := newPair(t, limits.AllRules()), newPair(t, c.off)
+			c.run(on)
+			c.run(off)
+			assert.Equal(t, on.excess(), 0.0)
+			assert.Assert(t, off.excess() > 0, "the checker finds nothing with the rule off")
+		})
+	}
+}
+
+// Guards against refunds that are each measured against the same past peak:
+// the second of two must count what the first has raised.
+func TestRefundsCountEarlierRefunds(t *testing.T) {
+	p := newPair(t, limits.AllRules())
+	one, two := p.admit(p.a, 900), p.admit(p.a, 900)
+	p.pass(3 * time.Second)
+	p.take(p.a)
+	for i, d := range []limits.Decision{one, two} {
+		refunded, _ := p.a.Refund(p.now, d.Charge, 900)
+		p.grants[i].Tokens -= refunded
+	}
+	p.take(p.a)
+	p.take(p.b)
+	assert.Equal(t, p.excess(), 0.0)
+}
+
+// Guards against a charge that is paid back twice.
+func TestRefundOnce(t *testing.T) {
+	p := newPair(t, limits.AllRules())
+	d := p.admit(p.a, 900)
+	first, _ := p.a.Refund(p.now, d.Charge, 900)
+	second, _ := p.a.Refund(p.now, d.Charge, 900)
+	assert.Equal(t, first, int64(900))
+	assert.Equal(t, second, int64(0))
+}
+
+// Guards against a raise on the word of a peer that has skipped the revision
+// that lowers its share: only a revision that both have applied counts.
+func TestAcknowledgementAheadDoesNotCount(t *testing.T) {
+	p := newPair(t, limits.AllRules())
+	p.b.Apply(p.now, customer, pairPolicy(2, 1, 9))
+	p.b.ObserveApplied(vmB.ID, 2)
+	p.b.ObserveApplied(vmA.ID, 3)
+	state := p.b.Snapshot(p.now).Customers[0]
+	assert.Assert(t, state.Rate < 501)
+	assert.DeepEqual(t, state.PendingOn, []ids.VMID{vmA.ID})
+	p.b.ObserveApplied(vmB.ID, 3)
+	assert.Assert(t, p.b.Snapshot(p.now).Customers[0].Rate > 899)
+}
+
+// Guards the bounds of waiting: a request that nobody can serve is refused at
+// its deadline, and a cost above the usable burst at once.
+func TestRefusals(t *testing.T) {
+	p := newPair(t, limits.AllRules())
+	assert.Equal(t, p.admit(p.a, 4001).Reason, limits.ReasonTooLarge)
+	assert.Equal(t, p.a.Admit(p.now, "nobody", 1, p.now).Reason, limits.ReasonUnknown)
+	d := p.admit(p.a, 3700)
+	assert.Equal(t, d.Verdict, limits.Waiting)
+	p.pass(time.Second)
+	out := p.a.Wake(p.now, customer)
+	assert.Equal(t, len(out.Refused), 1)
+	assert.Equal(t, out.Refused[0].Ticket, d.Ticket)
+	assert.Assert(t, out.Refused[0].RetryAfter > 0)
+}
+
+// Guards against traffic to a peer that has said when it will have tokens.
+func TestEmptyPeerIsNotAskedBeforeItsTime(t *testing.T) {
+	p := newPair(t, limits.AllRules())
+	p.take(p.a)
+	reply := p.borrowed(3000)
+	assert.Equal(t, reply.Granted, int64(0))
+	assert.Assert(t, reply.RetryMillis > 50)
+	assert.Equal(t, len(p.b.Receive(p.now, reply).Asks), 0)
+	p.pass(time.Duration(reply.RetryMillis)*time.Millisecond - time.Millisecond)
+	assert.Equal(t, len(p.b.Wake(p.now, customer).Asks), 0)
+	p.pass(time.Millisecond)
+	assert.Equal(t, len(p.b.Wake(p.now, customer).Asks), 1)
+}
+
+// Guards unused seats: they count only after SettleTime and while the list is
+// confirmed; a new VM earns nothing before that.
+func TestUnusedSeats(t *testing.T) {
+	cfg := limits.DefaultConfig()
+	cfg.UseUnusedSeats = true
+	now := time.Unix(1_700_000_000, 0)
+	table := limits.New(cfg, vmA, now)
+	policy := limits.Policy{Revision: 1, Rate: 1000, Burst: 4000, DataCentres: map[ids.DataCentreID]limits.DataCentre{"dc0": {Seats: 4, Weight: 1}}}
+	table.Apply(now, customer, policy)
+	table.ObserveApplied(vmA.ID, 1)
+	rates := map[time.Duration]float64{}
+	for at := time.Duration(0); at <= 60*time.Second; at += time.Second {
+		if at < 40*time.Second {
+			table.SetView(now.Add(at), limits.View{VMs: []limits.VM{vmA}, ConfirmedAt: now.Add(at)})
+		}
+		rates[at] = table.Snapshot(now.Add(at)).Customers[0].Rate
+	}
+	assert.Equal(t, rates[cfg.SettleTime()-time.Second], 0.0)
+	assert.Assert(t, rates[cfg.SettleTime()+time.Second] > 999)
+	assert.Assert(t, rates[48*time.Second] > 999)
+	assert.Assert(t, rates[50*time.Second] < 251)
+}
--- a/pkg/coordination/limits/slots.go
+++ b/pkg/coordination/limits/slots.go
@@ -8,9 +8,17 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
 )
 
-// SlotUnits is one slot in thousandths. A VM's static part may be below one
+// SlotUnits is one slot in millionths. A VM's static part may be below one
 // slot, so slots are lent in parts and a use gathers a whole one.
-const SlotUnits int64 = 1000
+const SlotUnits int64 = 1_000_000
+
+// useUnits is what a use takes. It is a thousandth below a slot, so that the
+// parts lost in rounding down each VM's share do not cost a whole slot. With up
+// to maxSlots slots no further use fits in.
+const (
+	useUnits = SlotUnits - SlotUnits/1000
+	maxSlots = 900
+)
 
 // SlotConfig holds the terms of slot leases.
 type SlotConfig struct {
@@ -107,7 +115,7 @@
 	if revision < s.revision {
 		return
 	}
-	s.revision, s.total, s.dcs = revision, max(total, 0), dcs
+	s.revision, s.total, s.dcs = revision, min(max(total, 0), maxSlots), dcs
 	s.target = Policy{DataCentres: dcs}.fraction(s.table.dc)
 	s.inForce = min(s.inForce, s.target)
 }
@@ -119,11 +127,11 @@
 	s.expire(now)
 	own := max(s.free(now), 0)
 	usable := s.usable(now)
-	if own+usable >= SlotUnits {
-		return SlotDecision{Use: s.take(now, min(own, SlotUnits))}
+	if own+usable >= useUnits {
+		return SlotDecision{Use: s.take(now, min(own, useUnits))}
 	}
 	d := SlotDecision{RetryAt: now.Add(s.table.cfg.TransferMaxAge)}
-	d.Asks = s.ask(now, SlotUnits-own-usable)
+	d.Asks = s.ask(now, useUnits-own-usable)
 	if len(d.Asks) == 0 && len(s.asks) == 0 {
 		d.Returns = s.giveBack()
 		d.RetryAt = now.Add(s.backoff())
@@ -163,7 +171,7 @@
 // take starts a use with own units and borrowed ones for the rest.
 func (s *Slots) take(now time.Time, own int64) uint64 {
 	use := slotUse{own: own}
-	lack := SlotUnits - own
+	lack := useUnits - own
 	for i := range s.borrowed {
 		l := &s.borrowed[i]
 		if lack <= 0 {
@@ -234,7 +242,7 @@
 	if term <= 0 || term > s.cfg.Term {
 		return reply
 	}
-	reply.Units = max(min(s.free(now), req.Units, SlotUnits), 0)
+	reply.Units = max(min(s.free(now), req.Units, useUnits), 0)
 	if reply.Units == 0 {
 		reply.RetryMillis = s.table.cfg.TransferMaxAge.Milliseconds()
 		return reply
--- a/pkg/protocol/peer/limits.go
+++ b/pkg/protocol/peer/limits.go
@@ -55,7 +55,7 @@
 type StoreBorrowRequest struct {
 	Ask  uint64   `json:"a"`
 	From ids.VMID `json:"f"`
-	// Units is what the asker lacks, in thousandths of a slot.
+	// Units is what the asker lacks, in millionths of a slot.
 	Units int64 `json:"u"`
 	// TermMillis is the length of the lease; the asker counts it from the
 	// moment of its ask.
