Let a VM name the address of its outgoing connections

Cause: a VM with several addresses must show its peers and endpoints the one that the network allows, and the fault matrix tells hosts apart by it. Change: setting source, applied to peer links and endpoint connections. Conclusion: links between single hosts can be cut in experiments.

--- a/pkg/coordination/limits/fleet_test.go
+++ b/pkg/coordination/limits/fleet_test.go
@@ -195,5 +195,3 @@
 func TestFleetNeverExceedsLimitWithUnusedSeats(t *testing.T) {
 	rapid.Check(t, conserves(true))
 }
-
-
--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -61,6 +61,7 @@
 		address("listen.callers", "address that callers use", &e.Listen.Callers, true),
 		address("listen.peers", "address that other VMs use", &e.Listen.Peers, true),
 		address("listen.admin", "address of health, metrics, status and drain", &e.Listen.Admin, true),
+		source("source", "IP number of outgoing connections", &e.Source),
 		address("platform.address", "address of the configuration service", &e.Platform.Address, false),
 		share("objectives.availability", "share of requests that get a whole answer", &e.Objectives.Availability),
 		number("objectives.firstTokenMillis", "objective for the time to the first token", &e.Objectives.FirstTokenMillis, 1, maxTimeout),
@@ -114,6 +115,19 @@
 	}
 }
 
+// source is an IP number without a port, or empty.
+func source(path, usage string, value *string) field {
+	return field{
+		path: path, usage: usage, allowed: "an IP number, or empty for the system's choice",
+		get: func() string { return strconv.Quote(*value) },
+		set: func(text string) error { *value = text; return nil },
+		valid: func() bool {
+			_, err := netip.ParseAddr(*value)
+			return *value == "" || err == nil
+		},
+	}
+}
+
 // share is an objective in parts of 1. It is below 1, because an objective
 // of 1 leaves no error budget to burn.
 func share(path, usage string, value *float64) field {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -21,11 +21,14 @@
 	DataCentre ids.DataCentreID `json:"dataCentre"`
 	Region     string           `json:"region"`
 	Listen     Listen           `json:"listen"`
-	Platform   Platform         `json:"platform"`
-	Objectives Objectives       `json:"objectives"`
-	Timeouts   Timeouts         `json:"timeouts"`
-	Limits     Limits           `json:"limits"`
-	Log        Log              `json:"log"`
+	// Source is the IP number from which the VM connects to peers, endpoints
+	// and the platform. Empty leaves the choice to the system.
+	Source     string     `json:"source"`
+	Platform   Platform   `json:"platform"`
+	Objectives Objectives `json:"objectives"`
+	Timeouts   Timeouts   `json:"timeouts"`
+	Limits     Limits     `json:"limits"`
+	Log        Log        `json:"log"`
 }
 
 // Listen holds the addresses, as IP number and port, that the daemon listens
--- a/pkg/transport/engines/client.go
+++ b/pkg/transport/engines/client.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/source"
 )
 
 // Connection settings.
@@ -53,6 +54,8 @@
 	Silence time.Duration
 	// MaxAnswerBytes bounds one unary answer of an endpoint.
 	MaxAnswerBytes int64
+	// Source is the IP number of outgoing connections; empty for any.
+	Source string
 }
 
 // DefaultConfig holds the bounds that suit endpoints at most a few
@@ -143,7 +146,8 @@
 
 func (c *Client) newTransport() *http.Transport {
 	dialer := &net.Dialer{
-		Timeout: c.config.DialTimeout,
+		Timeout:   c.config.DialTimeout,
+		LocalAddr: source.Addr(c.config.Source),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
--- a/pkg/transport/peers/link.go
+++ b/pkg/transport/peers/link.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/source"
 )
 
 // link is the outgoing connection to one peer. It connects on the first call
@@ -90,7 +91,7 @@
 	if conn != nil {
 		return conn, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: source.Addr(l.node.config.Source)}
 	raw, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
--- a/pkg/transport/peers/peers.go
+++ b/pkg/transport/peers/peers.go
@@ -45,6 +45,8 @@
 type Config struct {
 	Self     From
 	Registry *Registry
+	// Source is the IP number of outgoing connections; empty for any.
+	Source string
 	// Fault, if set, is asked before each message leaves. Tests use it.
 	Fault  Fault
 	Logger logrus.FieldLogger
