--- a/pkg/coordination/relay/links.go
+++ b/pkg/coordination/relay/links.go
@@ -11,16 +11,15 @@
 )
 
 const (
-	// intervalNear is the heartbeat interval inside a data centre.
-	intervalNear = time.Second
-	// intervalQuiet is the interval between two VMs of a large data centre of
-	// which neither relays for the other. It halves the largest part of the
-	// control traffic and leaves two heartbeats within the authority term.
-	intervalQuiet = 2 * time.Second
+	// The heartbeat interval inside a data centre grows with its size, which
+	// bounds the control traffic of a VM. The longest one still brings a
+	// confirmation from one of the two watchers every second on average and
+	// leaves two heartbeats within the authority term.
+	intervalShortest = time.Second
+	intervalPerVM    = 150 * time.Millisecond
+	intervalLongest  = 2 * time.Second
 	// intervalFar is the heartbeat interval across data centres.
 	intervalFar = 3 * time.Second
-	// smallDataCentre is up to how many VMs all pairs use intervalNear.
-	smallDataCentre = 8
 	// firstSequences is the range of the random first sequence of a link. An
 	// echo of an earlier boot must not match a sequence of this one.
 	firstSequences = 1 << 31
@@ -136,48 +135,24 @@
 			wanted[vm.ID] = &link{vm: vm, interval: interval, timeout: timeout}
 		}
 	}
+	near := nearInterval(len(list.LiveIn(r.members.DataCentre())))
 	for _, vm := range r.members.LivePeers(r.members.DataCentre()) {
-		add(vm, r.nearInterval(list, vm), TimeoutNear)
+		add(vm, near, TimeoutNear)
 	}
 	for _, vm := range r.farLinks(list, regions) {
 		add(vm, intervalFar, TimeoutFar)
 	}
 	if len(wanted) == 0 {
 		for _, vm := range r.seeds {
-			add(vm, intervalNear, TimeoutFar)
+			add(vm, intervalShortest, TimeoutFar)
 		}
 	}
 	return wanted
 }
 
-// nearInterval returns the interval to a VM of the own data centre. Each VM
-// has one of the watchers as its relay and hears from it every second.
-func (r *Relay) nearInterval(list *membership.List, vm platformapi.VM) time.Duration {
-	dataCentre := r.members.DataCentre()
-	if len(list.LiveIn(dataCentre)) <= smallDataCentre {
-		return intervalNear
-	}
-	watchers := list.Watchers(dataCentre)
-	self := r.members.Self()
-	if relayOf(self, watchers) == vm.ID || relayOf(vm.ID, watchers) == self {
-		return intervalNear
-	}
-	return intervalQuiet
-}
-
-// relayOf returns the watcher from which a VM hears every second. Watchers
-// hear from each other.
-func relayOf(vm ids.VMID, watchers []platformapi.VM) ids.VMID {
-	others := make([]platformapi.VM, 0, len(watchers))
-	for _, watcher := range watchers {
-		if watcher.ID != vm {
-			others = append(others, watcher)
-		}
-	}
-	if len(others) == 0 {
-		return ""
-	}
-	return others[membership.Score("relay", vm)%uint64(len(others))].ID
+// nearInterval returns the heartbeat interval inside a data centre of a size.
+func nearInterval(size int) time.Duration {
+	return min(max(time.Duration(size)*intervalPerVM, intervalShortest), intervalLongest)
 }
 
 // farLinks lists the watchers of other data centres that this VM exchanges
--- a/pkg/state/catalog/apply.go
+++ b/pkg/state/catalog/apply.go
@@ -79,7 +79,7 @@
 // withdrawAbsent withdraws the keys that a listing at a revision lacks.
 func (c *Catalog) withdrawAbsent(present map[string]bool, revision ids.Revision, applied *Applied) {
 	var absent []string
-	for key, e := range c.entries {
+	for key, e := range c.all() {
 		newerThanListing := e.newest() > revision && c.rules.completeListing
 		withdrawn := e.record == nil && e.refused == nil
 		if !present[key] && !newerThanListing && !withdrawn {
@@ -88,7 +88,7 @@
 	}
 	slices.Sort(absent)
 	for _, key := range absent {
-		e := c.entries[key]
+		e, _ := c.entry(key)
 		// The true revision of the withdrawal is unknown but not above the
 		// listing's, and later publications are above it.
 		revision := max(revision, e.newest())
@@ -100,14 +100,13 @@
 
 // apply applies one change if it is above what is held.
 func (c *Catalog) apply(event platformapi.Event, applied *Applied) {
-	e, found := c.entries[event.Key]
+	e, found := c.entry(event.Key)
 	if c.isStale(e, found, event.Revision) {
 		applied.Stale++
 		return
 	}
 	if !found {
-		e = &entry{}
-		c.entries[event.Key] = e
+		e = c.addEntry(event.Key)
 	}
 	if event.Deleted {
 		c.dropRefusal(e, event.Revision)
--- a/pkg/state/catalog/catalog.go
+++ b/pkg/state/catalog/catalog.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/json"
+	"iter"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,8 +44,11 @@
 	rules rules
 
 	// mu serialises writers and guards the fields up to the next blank line.
-	mu         sync.Mutex
-	entries    map[string]*entry
+	mu sync.Mutex
+	// entries holds what is known of each key, by kind and key, so that the
+	// index of a small kind is rebuilt without visiting the others.
+	entries    map[records.Kind]map[string]*entry
+	known      int
 	log        []logEntry
 	tombstones int
 	// floor is the highest revision of a forgotten tombstone.
@@ -94,7 +98,7 @@
 func New() *Catalog {
 	c := &Catalog{
 		rules:    rules{upwardOnly: true, completeListing: true},
-		entries:  make(map[string]*entry),
+		entries:  make(map[records.Kind]map[string]*entry),
 		adapters: shard.New[ids.AdapterID, *records.Adapter](adapterShards),
 	}
 	c.view.Store(newView())
@@ -117,7 +121,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []Refused
-	for key, e := range c.entries {
+	for key, e := range c.all() {
 		if e.refused != nil {
 			list = append(list, Refused{Key: key, Revision: e.refused.revision, Reason: e.refused.reason})
 		}
@@ -130,7 +134,7 @@
 func (c *Catalog) Held(key string) (ids.Revision, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e, found := c.entries[key]
+	e, found := c.entry(key)
 	if !found {
 		return 0, false
 	}
@@ -142,7 +146,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	counts := make(map[records.Kind]int)
-	for _, e := range c.entries {
+	for _, e := range c.all() {
 		if e.record != nil {
 			counts[e.record.Kind]++
 		}
@@ -150,6 +154,42 @@
 	return counts
 }
 
+// entry returns what is known of a key.
+func (c *Catalog) entry(key string) (*entry, bool) {
+	e, found := c.entries[kindOf(key)][key]
+	return e, found
+}
+
+// addEntry returns the new entry of a key.
+func (c *Catalog) addEntry(key string) *entry {
+	kind := kindOf(key)
+	if c.entries[kind] == nil {
+		c.entries[kind] = make(map[string]*entry)
+	}
+	e := &entry{}
+	c.entries[kind][key] = e
+	c.known++
+	return e
+}
+
+func (c *Catalog) dropEntry(key string) {
+	delete(c.entries[kindOf(key)], key)
+	c.known--
+}
+
+// all visits every entry.
+func (c *Catalog) all() iter.Seq2[string, *entry] {
+	return func(visit func(string, *entry) bool) {
+		for _, entries := range c.entries {
+			for key, e := range entries {
+				if !visit(key, e) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func kindOf(key string) records.Kind {
 	kind, _, _ := strings.Cut(key, "/")
 	return records.Kind(kind)
--- a/pkg/state/catalog/delta.go
+++ b/pkg/state/catalog/delta.go
@@ -80,7 +80,7 @@
 
 // event returns the change that a log entry stands for, if it is not outdated.
 func (c *Catalog) event(l logEntry) (platformapi.Event, bool) {
-	e, found := c.entries[l.key]
+	e, found := c.entry(l.key)
 	if !found {
 		return platformapi.Event{}, false
 	}
@@ -105,7 +105,7 @@
 
 // compactLog drops outdated entries once they are more than half.
 func (c *Catalog) compactLog() {
-	if len(c.log) < 2*len(c.entries)+logSlack {
+	if len(c.log) < 2*c.known+logSlack {
 		return
 	}
 	c.log = slices.DeleteFunc(c.log, func(l logEntry) bool {
@@ -125,9 +125,9 @@
 		if c.tombstones <= maxTombstones/2 || l.revision > c.Through() {
 			break
 		}
-		e, found := c.entries[l.key]
+		e, found := c.entry(l.key)
 		if found && e.revision == l.revision && e.record == nil && e.refused == nil {
-			delete(c.entries, l.key)
+			c.dropEntry(l.key)
 			c.tombstones--
 			c.floor = max(c.floor, l.revision)
 		}
--- a/pkg/state/catalog/view.go
+++ b/pkg/state/catalog/view.go
@@ -72,10 +72,9 @@
 type routeIndex map[string]Route
 
 type endpointIndex struct {
-	byID      map[ids.EndpointID]Endpoint
+	all       []Endpoint
 	byModel   map[string][]Endpoint
 	byService map[string][]Endpoint
-	all       []Endpoint
 }
 
 func newView() *View {
@@ -199,8 +198,11 @@
 
 // Endpoint returns an endpoint record.
 func (v *View) Endpoint(id ids.EndpointID) (Endpoint, bool) {
-	endpoint, found := v.endpoints.byID[id]
-	return endpoint, found
+	at, found := findEndpoint(v.endpoints.all, id)
+	if !found {
+		return Endpoint{}, false
+	}
+	return v.endpoints.all[at], true
 }
 
 // Endpoints lists all endpoints in order of id.
@@ -271,8 +273,13 @@
 // rebuildView replaces the parts of the view that the changed keys belong to.
 func (c *Catalog) rebuildView(changed []string) {
 	kinds := make(map[records.Kind]bool)
+	var endpoints []ids.EndpointID
 	for _, key := range changed {
-		kinds[kindOf(key)] = true
+		kind := kindOf(key)
+		kinds[kind] = true
+		if kind == records.KindEndpoint {
+			endpoints = append(endpoints, ids.EndpointID(key[len(kind)+1:]))
+		}
 	}
 	delete(kinds, records.KindAdapter)
 	if len(kinds) == 0 {
@@ -292,7 +299,7 @@
 		next.routes = c.routeIndex()
 	}
 	if kinds[records.KindEndpoint] {
-		next.endpoints = c.endpointIndex()
+		next.endpoints = c.nextEndpoints(next.endpoints, endpoints)
 	}
 	if kinds[records.KindWeightStore] {
 		next.weightStore = c.firstWeightStore()
@@ -303,8 +310,8 @@
 // collect gathers the records of one kind.
 func collect[ID ~string, V any](c *Catalog, kind records.Kind, spec func(ID, *records.Record) V) map[ID]V {
 	found := make(map[ID]V)
-	for _, e := range c.entries {
-		if e.record != nil && e.record.Kind == kind {
+	for _, e := range c.entries[kind] {
+		if e.record != nil {
 			id := ID(e.record.ID)
 			found[id] = spec(id, e.record)
 		}
@@ -316,9 +323,9 @@
 // earlier publication wins on every VM.
 func (c *Catalog) keyIndex() map[uint64][]keyEntry {
 	index := make(map[uint64][]keyEntry)
-	for key, e := range c.entries {
+	for _, e := range c.entries[records.KindKey] {
 		spec, withdrawn := e.withdrawnKey, true
-		if kindOf(key) == records.KindKey && e.record != nil {
+		if e.record != nil {
 			spec, withdrawn = e.record.Key, false
 		}
 		if spec == nil {
@@ -350,27 +357,6 @@
 	return index
 }
 
-func (c *Catalog) endpointIndex() endpointIndex {
-	index := endpointIndex{
-		byID: collect(c, records.KindEndpoint, func(id ids.EndpointID, r *records.Record) Endpoint {
-			return Endpoint{ID: id, Endpoint: r.Endpoint}
-		}),
-		byModel:   make(map[string][]Endpoint),
-		byService: make(map[string][]Endpoint),
-	}
-	index.all = make([]Endpoint, 0, len(index.byID))
-	for _, id := range sortedKeys(index.byID) {
-		endpoint := index.byID[id]
-		index.all = append(index.all, endpoint)
-		if endpoint.Kind == records.EndpointModel {
-			index.byModel[endpoint.BaseModel] = append(index.byModel[endpoint.BaseModel], endpoint)
-			continue
-		}
-		index.byService[endpoint.Service] = append(index.byService[endpoint.Service], endpoint)
-	}
-	return index
-}
-
 // firstWeightStore returns the weight store with the lowest id.
 func (c *Catalog) firstWeightStore() *records.WeightStore {
 	stores := collect(c, records.KindWeightStore, func(id string, r *records.Record) *records.WeightStore { return r.WeightStore })
