Spread the heartbeats of a VM over their interval

A VM called all its peers in one moment and got the same delta from each that was ahead. Each link now starts at a random point of its interval.

--- a/pkg/coordination/relay/links.go
+++ b/pkg/coordination/relay/links.go
@@ -116,6 +116,7 @@
 		held, known := r.links[id]
 		if !known {
 			want.heardAt = now
+			want.sentAt = r.firstBeat(now, want.interval)
 			want.sequence = r.rand.Uint64N(firstSequences)
 			r.links[id] = want
 			continue
@@ -150,6 +151,16 @@
 	return wanted
 }
 
+// firstBeat returns when a new link counts as last used. A starting VM calls
+// at once. Later the calls are spread over the interval: a VM that called all
+// its peers in one moment would get the same news from each of them.
+func (r *Relay) firstBeat(now time.Time, interval time.Duration) time.Time {
+	if !r.startup.ready {
+		return time.Time{}
+	}
+	return now.Add(-r.jitter(interval))
+}
+
 // nearInterval returns the heartbeat interval inside a data centre of a size.
 func nearInterval(size int) time.Duration {
 	return min(max(time.Duration(size)*intervalPerVM, intervalShortest), intervalLongest)
--- a/pkg/coordination/relay/startup.go
+++ b/pkg/coordination/relay/startup.go
@@ -116,5 +116,8 @@
 	r.quiet[ReadRecords] = now
 	r.quiet[ReadVMs] = now
 	r.refreshLinks(now)
+	for _, id := range r.linkOrder() {
+		r.links[id].sentAt = r.firstBeat(now, r.links[id].interval)
+	}
 	return []Action{BecameReady{FromPlatform: fromPlatform}}
 }
