--- a/pkg/coordination/relay/heartbeat.go
+++ b/pkg/coordination/relay/heartbeat.go
@@ -54,23 +54,7 @@
 	r.members.Hear(now, beat)
 	l := r.linkTo(beat.From)
 	r.hear(now, l, beat, l.echoTime(beat.Echo))
-	reply := r.beat(now, l)
-	reply.Delta = r.smallDelta(beat)
-	return reply, r.tickPulls(now)
-}
-
-// smallDelta returns what a caller lacks, if it is little. A starting VM
-// first hears all its peers and then pulls.
-func (r *Relay) smallDelta(beat peer.Heartbeat) *peer.DeltaReply {
-	if !beat.Ready || !r.startup.ready || beat.Digest.Records >= r.catalog.Through() {
-		return nil
-	}
-	delta := r.catalog.Delta(beat.Digest.Records, maxInlineBytes)
-	if delta.More || delta.Full {
-		return nil
-	}
-	reply := r.deltaReply(delta)
-	return &reply
+	return r.beat(now, l), r.tickPulls(now)
 }
 
 // linkTo returns the link to a peer. A peer that is no link, such as one that
@@ -95,9 +79,6 @@
 	r.members.Hear(now, reply)
 	// The reply was written after the heartbeat that it echoes was sent.
 	r.hear(now, l, reply, l.echoTime(reply.Echo))
-	if reply.Delta != nil && !reply.Delta.Full && r.rules.pull {
-		r.applyDelta(now, *reply.Delta)
-	}
 	return r.tickPulls(now)
 }
 
--- a/pkg/coordination/relay/pull.go
+++ b/pkg/coordination/relay/pull.go
@@ -79,10 +79,7 @@
 
 // OnDeltaRequest answers peer.delta.
 func (r *Relay) OnDeltaRequest(request peer.DeltaRequest) peer.DeltaReply {
-	return r.deltaReply(r.catalog.Delta(request.After, MaxDeltaBytes))
-}
-
-func (r *Relay) deltaReply(delta catalog.Delta) peer.DeltaReply {
+	delta := r.catalog.Delta(request.After, MaxDeltaBytes)
 	return peer.DeltaReply{
 		From:    r.members.Self(),
 		Boot:    r.boot,
@@ -99,17 +96,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.delta = pull{}
-	before := r.catalog.Through()
-	applied := r.applyDelta(now, reply)
-	if l, known := r.links[from]; known && r.catalog.Through() == before {
-		// The peer restarted or answered late; it is not ahead any more.
-		l.records = min(l.records, reply.Through)
-	}
-	return applied, r.tickPulls(now)
-}
-
-// applyDelta applies what a peer sent.
-func (r *Relay) applyDelta(now time.Time, reply peer.DeltaReply) catalog.Applied {
 	before := r.catalog.Through()
 	var applied catalog.Applied
 	if reply.Full {
@@ -118,7 +104,11 @@
 		applied = r.catalog.ApplyChanges(reply.After, reply.Through, reply.Events)
 	}
 	r.advanced(now, before)
-	return applied
+	if l, known := r.links[from]; known && r.catalog.Through() == before {
+		// The peer restarted or answered late; it is not ahead any more.
+		l.records = min(l.records, reply.Through)
+	}
+	return applied, r.tickPulls(now)
 }
 
 // OnDeltaFailure records that a pull failed.
--- a/pkg/coordination/relay/relay.go
+++ b/pkg/coordination/relay/relay.go
@@ -51,8 +51,6 @@
 	TimeoutFar  = time.Second
 	// MaxDeltaBytes bounds one delta; a VM that is further behind pulls again.
 	MaxDeltaBytes = 256 << 10
-	// maxInlineBytes bounds a delta inside a heartbeat.
-	maxInlineBytes = 4 << 10
 	// watcherPatience is how long a watcher waits for its own watch to bring
 	// what a peer already has, before it pulls.
 	watcherPatience = 500 * time.Millisecond
--- a/pkg/protocol/peer/relay.go
+++ b/pkg/protocol/peer/relay.go
@@ -44,9 +44,6 @@
 	Digest Digest `json:"d"`
 	// Load is the number of requests that the sender holds.
 	Load uint32 `json:"q,omitempty"`
-	// Delta is set in a reply when the caller is a little behind, which saves
-	// it an exchange.
-	Delta *DeltaReply `json:"delta,omitempty"`
 	// Limits and Endpoints carry the parts that those packages add.
 	Limits    json.RawMessage `json:"lim,omitempty"`
 	Endpoints json.RawMessage `json:"ep,omitempty"`
