--- a/internal/bench/config/catalog.go
+++ b/internal/bench/config/catalog.go
@@ -17,8 +17,6 @@
 const (
 	// memoryLimit is a node's budget for everything, in bytes.
 	memoryLimit = 64 << 20
-	// lookups is how many lookups are timed.
-	lookups = 200_000
 	// readers is how many goroutines look up at once in the parallel case.
 	readers = 4
 )
@@ -61,9 +59,9 @@
 }
 
 func measureCatalog(report *Report, options Options) {
-	sizes := []int{3000, 6000, 12_000}
+	scale := options.scale()
 	var memory [][2]float64
-	for _, adapters := range sizes {
+	for _, adapters := range scale.adapters {
 		before := liveHeap()
 		c := catalog.New()
 		total, applied := applyListing(c, adapters)
@@ -73,14 +71,14 @@
 		report.add(name+", memory", used/(1<<20), "MiB", memoryLimit>>20)
 		report.add(name+", memory of a record", used/float64(total), "B", 0)
 		report.add(name+", applying the listing", applied.Seconds()*1000, "ms", 0)
-		report.add(name+", adapter lookup", timeLookups(func(i int) {
-			c.Resolve(ids.AdapterID(adapterNames[i%3000]), 0)
+		report.add(name+", adapter lookup", timeLookups(scale.lookups, func(i int) {
+			c.Resolve(ids.AdapterID(adapterNames[i%len(adapterNames)]), 0)
 		}), "ns", 0)
-		report.add(name+", adapter lookup by 4 readers at once", timeParallel(func(i int) {
-			c.Resolve(ids.AdapterID(adapterNames[i%3000]), 0)
+		report.add(name+", adapter lookup by 4 readers at once", timeParallel(scale.lookups, func(i int) {
+			c.Resolve(ids.AdapterID(adapterNames[i%len(adapterNames)]), 0)
 		}), "ns", 0)
 		hash := catalog.KeyHash(hashOf(7))
-		report.add(name+", key lookup", timeLookups(func(int) { c.View().CustomerByKey(hash) }), "ns", 0)
+		report.add(name+", key lookup", timeLookups(scale.lookups, func(int) { c.View().CustomerByKey(hash) }), "ns", 0)
 		report.add(name+", applying one change", timeChanges(c, c.Through()), "µs", 0)
 		runtime.KeepAlive(c)
 	}
@@ -97,7 +95,7 @@
 }
 
 var adapterNames = func() []string {
-	names := make([]string, 3000)
+	names := make([]string, 1000)
 	for i := range names {
 		names[i] = fmt.Sprintf("adapter-%d", i)
 	}
@@ -105,16 +103,16 @@
 }()
 
 // timeLookups returns the nanoseconds of one lookup.
-func timeLookups(lookup func(int)) float64 {
+func timeLookups(lookups int, lookup func(int)) float64 {
 	start := time.Now()
 	for i := range lookups {
 		lookup(i)
 	}
-	return float64(time.Since(start).Nanoseconds()) / lookups
+	return float64(time.Since(start).Nanoseconds()) / float64(lookups)
 }
 
 // timeParallel returns the nanoseconds of one lookup as a reader sees it.
-func timeParallel(lookup func(int)) float64 {
+func timeParallel(lookups int, lookup func(int)) float64 {
 	var group sync.WaitGroup
 	start := time.Now()
 	for range readers {
@@ -125,7 +123,7 @@
 		})
 	}
 	group.Wait()
-	return float64(time.Since(start).Nanoseconds()) / lookups
+	return float64(time.Since(start).Nanoseconds()) / float64(lookups)
 }
 
 // timeChanges returns the microseconds of applying one change, half of them
--- a/internal/bench/config/claims.go
+++ b/internal/bench/config/claims.go
@@ -46,10 +46,10 @@
 // keyed call.
 func measureClaims(report *Report, options Options) {
 	var memory [][2]float64
-	for _, claims := range []int{5000, 10_000, 20_000} {
+	for _, claims := range options.scale().claims {
 		memory = append(memory, [2]float64{float64(claims), claimMemory(claims)})
 	}
-	report.add("memory of a claim with an answer of 200 bytes", memory[2][1]/memory[2][0], "B", 0)
+	report.add("memory of a claim with an answer of 200 bytes", memory[len(memory)-1][1]/memory[len(memory)-1][0], "B", 0)
 	report.fit("config.claim_bytes", "B/claim", memory)
 
 	f := startFleet(options, isbreen(), true)
@@ -117,12 +117,9 @@
 
 // measureOutcomes kills VMs at stated rates under keyed calls.
 func measureOutcomes(report *Report, options Options) {
-	calls := 20_000
-	if options.Quick {
-		calls = 4000
-	}
+	calls := options.scale().calls
 	var points [][2]float64
-	for _, killsPerMinute := range []float64{0, 0.5, 2} {
+	for _, killsPerMinute := range options.scale().kills {
 		found := countOutcomes(options, calls, killsPerMinute)
 		unknown := float64(found.unknown) / float64(found.calls) * 10_000
 		refused := float64(found.notRun) / float64(found.calls) * 10_000
--- a/internal/bench/config/spread.go
+++ b/internal/bench/config/spread.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config/fleet"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/membership"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 )
 
@@ -47,14 +48,6 @@
 
 func siteID(i int) ids.DataCentreID { return ids.DataCentreID(fmt.Sprintf("dc-%02d", i)) }
 
-// targetFleet returns the target fleet, or a smaller one for quick runs.
-func targetFleet(options Options) []fleet.Site {
-	if options.Quick {
-		return target(84, 9, 3)
-	}
-	return target(420, 31, 11)
-}
-
 func startFleet(options Options, sites []fleet.Site, countBytes bool) *fleet.Fleet {
 	f := fleet.New(fleet.Config{Seed: options.Seed, Sites: sites, CountBytes: countBytes})
 	f.StartAll(time.Second)
@@ -111,10 +104,6 @@
 }
 
 func measureSpread(report *Report, options Options) {
-	changes := 40
-	if options.Quick {
-		changes = 15
-	}
 	var points [][2]float64
 	runs := []struct {
 		name  string
@@ -122,16 +111,16 @@
 		fault func(*fleet.Fleet)
 	}{
 		{"today", isbreen(), nil},
-		{"target", targetFleet(options), nil},
+		{"target", options.scale().target, nil},
 		{"today, one data centre cut off the platform", isbreen(), cutOffPlatform},
-		{"target, one region cut off the platform", targetFleet(options), cutOffRegion},
+		{"target, one region cut off the platform", options.scale().target, cutOffRegion},
 	}
 	for _, run := range runs {
 		f := startFleet(options, run.sites, false)
 		if run.fault != nil {
 			run.fault(f)
 		}
-		seconds := timesToForce(f, changes)
+		seconds := timesToForce(f, options.scale().changes)
 		prefix := fmt.Sprintf("time to force, %s (%d VMs)", run.name, len(f.All()))
 		report.add(prefix+", p50", quantile(seconds, 0.5), "s", 0)
 		report.add(prefix+", p99", quantile(seconds, 0.99), "s", 0)
@@ -193,11 +182,8 @@
 }
 
 func measureTraffic(report *Report, options Options) {
-	span := 20 * time.Second
-	if options.Quick {
-		span = 10 * time.Second
-	}
-	f := startFleet(options, targetFleet(options), true)
+	span := options.scale().span
+	f := startFleet(options, options.scale().target, true)
 	idle := measureFleetTraffic(f, span, 0)
 	busy := measureFleetTraffic(f, span, changesPerSecond)
 	report.add("platform calls, idle, mean", idle.meanCalls, "calls/s", platformLimit)
@@ -208,23 +194,45 @@
 	report.add("relay traffic of a node, idle, busiest node", idle.maxBytes, "B/s", trafficLimit)
 	report.add("relay traffic of a node, 25,000 changes a day, mean", busy.meanBytes, "B/s", trafficLimit)
 	report.add("relay traffic of a node, 25,000 changes a day, busiest node", busy.maxBytes, "B/s", trafficLimit)
+	report.add("VM list unconfirmed for 5 s, of samples", unconfirmed(f, span)*100, "%", 0)
+	from := f.Elapsed()
+	f.Platform.Down = true
+	f.Run(span)
+	_, peak := f.Platform.LoadBetween(from, f.Elapsed())
+	report.add("platform calls while the platform is down, busiest second", float64(peak), "calls", platformLimit)
 	measureTrafficSlopes(report, options, span/2)
 }
 
+// unconfirmed returns the part of samples, one for each VM and second, in
+// which a VM's list was not confirmed within the authority term.
+func unconfirmed(f *fleet.Fleet, span time.Duration) float64 {
+	samples, without := 0, 0
+	for range int(span / time.Second) {
+		f.Run(time.Second)
+		for _, node := range f.All() {
+			samples++
+			if !node.Members.Confirmed(f.Now(), membership.AuthorityTerm) {
+				without++
+			}
+		}
+	}
+	return float64(without) / float64(samples)
+}
+
 // measureTrafficSlopes varies the size of a data centre and the changes.
 func measureTrafficSlopes(report *Report, options Options, span time.Duration) {
 	var bySize, byChanges, calls [][2]float64
-	for _, size := range []int{10, 14, 18} {
+	for _, size := range options.scale().centreSizes {
 		f := startFleet(options, target(6*size, 6, 2), true)
 		idle := measureFleetTraffic(f, span, 0)
 		bySize = append(bySize, [2]float64{float64(size), idle.maxBytes})
 	}
-	for _, changes := range []float64{0.25, 1, 2} {
+	for _, changes := range options.scale().changeRates {
 		f := startFleet(options, target(6*14, 6, 2), true)
 		busy := measureFleetTraffic(f, span, changes)
 		byChanges = append(byChanges, [2]float64{changes, busy.maxBytes})
 	}
-	for _, dataCentres := range []int{4, 8, 16} {
+	for _, dataCentres := range options.scale().dataCentres {
 		f := startFleet(options, target(4*dataCentres, dataCentres, 4), false)
 		idle := measureFleetTraffic(f, span, 0)
 		calls = append(calls, [2]float64{float64(dataCentres), idle.meanCalls})
@@ -236,7 +244,7 @@
 
 // measureRestart restarts all VMs of a fleet at once.
 func measureRestart(report *Report, options Options) {
-	f := startFleet(options, targetFleet(options), false)
+	f := startFleet(options, options.scale().target, false)
 	for _, node := range f.All() {
 		node.Kill()
 	}
--- a/pkg/coordination/idempotency/home.go
+++ b/pkg/coordination/idempotency/home.go
@@ -17,8 +17,9 @@
 	// MaxAnswerBytes is the largest answer that is stored with a claim.
 	MaxAnswerBytes = 64 << 10
 	// maxClaims bounds the claims that one home remembers. Claims inside their
-	// window are never evicted; a full home does not count instead.
-	maxClaims = 50_000
+	// window are never evicted; a full home does not count instead. With the
+	// answers this keeps a home below a third of a VM's 64 MB.
+	maxClaims = 30_000
 	// maxStoredBytes bounds the answers of all claims together. Answers above
 	// it are remembered without their body.
 	maxStoredBytes = 8 << 20
