Let VMs call the watchers of their data centre

VMs now call their watchers. A new test found chord links that only one side kept when a data centre has one watcher; both keep them now.

--- a/pkg/coordination/relay/links.go
+++ b/pkg/coordination/relay/links.go
@@ -123,11 +123,28 @@
 		}
 		held.vm, held.interval, held.timeout = want.vm, want.interval, want.timeout
 	}
+	watchers := list.Watchers(r.members.DataCentre())
 	for id, l := range r.links {
+		near := l.vm.DataCentre == r.members.DataCentre()
 		l.calls = r.members.Self() < id
+		if near {
+			l.calls = calls(r.members.Self(), id, watchers)
+		}
 	}
 }
 
+// calls tells which VM of a pair in one data centre sends the heartbeats. A VM calls the watchers
+// of its data centre: the age in a reply counts from the call, a moment ago,
+// but the age in a call only from the reply before, an interval ago.
+func calls(self, other ids.VMID, watchers []platformapi.VM) bool {
+	selfWatches := rankOf(self, watchers) >= 0
+	otherWatches := rankOf(other, watchers) >= 0
+	if selfWatches != otherWatches {
+		return otherWatches
+	}
+	return self < other
+}
+
 // wantedLinks returns the peers that this VM exchanges heartbeats with.
 func (r *Relay) wantedLinks(list *membership.List, regions regions) map[ids.VMID]*link {
 	wanted := make(map[ids.VMID]*link)
@@ -199,8 +216,9 @@
 		return nil
 	}
 	var far []platformapi.VM
+	own := len(list.Watchers(here))
 	for _, chord := range chords {
-		if r.startup.ready && rank != chord.rank {
+		if r.startup.ready && rank != keeper(chord.rank, own) {
 			continue
 		}
 		for _, step := range []int{chord.distance, len(ring) - chord.distance%len(ring)} {
@@ -209,12 +227,16 @@
 			if other == here || len(watchers) == 0 {
 				continue
 			}
-			far = append(far, watchers[min(chord.rank, len(watchers)-1)])
+			far = append(far, watchers[keeper(chord.rank, len(watchers))])
 		}
 	}
 	return far
 }
 
+// keeper returns which of the watchers of a data centre keeps the links of a
+// rank; a single watcher keeps all.
+func keeper(rank, watchers int) int { return min(rank, watchers-1) }
+
 func rankOf(vm ids.VMID, watchers []platformapi.VM) int {
 	return slices.IndexFunc(watchers, func(w platformapi.VM) bool { return w.ID == vm })
 }
--- a/pkg/coordination/relay/relay_test.go
+++ b/pkg/coordination/relay/relay_test.go
@@ -122,6 +122,22 @@
 	assert.Equal(t, behind, 2)
 }
 
+// Guards against pairs of which both VMs wait for the other's heartbeats, or
+// both send them, and against links that only one side keeps.
+func TestOneVMOfEachPairCalls(t *testing.T) {
+	var layout []fleet.Site
+	for i := range 7 {
+		layout = append(layout, fleet.Site{ID: ids.DataCentreID(fmt.Sprint("dc", i)), Region: fmt.Sprint("r", i%3), VMs: 1 + 2*i})
+	}
+	f := started(t, fleet.Config{Seed: 5, Sites: layout})
+	for _, node := range f.All() {
+		for _, vm := range node.Relay.Links() {
+			there, back := node.Relay.Calls(vm.ID), f.Nodes[vm.ID].Relay.Calls(node.VM.ID)
+			assert.Assert(t, there != back, "%s and %s: call %v and %v", node.VM.ID, vm.ID, there, back)
+		}
+	}
+}
+
 // restartUnderStalePlatform withdraws a record, makes the platform answer as
 // of before, restarts a VM and tells whether the record is back on it.
 func restartUnderStalePlatform(t *testing.T, prepare func(*fleet.Node)) bool {
