--- a/internal/bench/config/claims.go
+++ b/internal/bench/config/claims.go
@@ -21,6 +21,8 @@
 	repeatWindow = 10 * time.Minute
 	// keyedCalls is how many calls are made to count their messages.
 	keyedCalls = 450
+	// listDelay is the time from a VM's death to the list that replaces it.
+	listDelay = 5 * time.Second
 	// callEvery is the interval of the keyed calls of a simulated fleet.
 	callEvery = 20 * time.Millisecond
 )
@@ -133,8 +135,8 @@
 	report.fit("config.outcome_unknown_per_10000", "calls/(kill/min)", points)
 }
 
-// countOutcomes sends keyed calls, each once, to VMs that are up, and replaces
-// VMs at random. A call whose VM died counts as unknown.
+// countOutcomes sends keyed calls, each once, to VMs that are up, and kills
+// VMs at regular intervals. A call whose VM died counts as unknown.
 func countOutcomes(options Options, calls int, killsPerMinute float64) outcomes {
 	f := startFleet(options, isbreen(), false)
 	f.Run(30 * time.Second)
@@ -150,18 +152,13 @@
 		}
 		return found.calls < calls
 	})
-	end := f.Now().Add(time.Duration(calls) * callEvery)
-	for f.Now().Before(end) {
-		if killsPerMinute == 0 {
-			f.Run(end.Sub(f.Now()))
-			break
-		}
-		f.Run(min(end.Sub(f.Now()), time.Duration(f.Rand.ExpFloat64()/killsPerMinute*float64(time.Minute))))
-		if up := f.All(); f.Now().Before(end) {
-			f.Replace(up[f.Rand.IntN(len(up))])
-		}
+	if killsPerMinute > 0 {
+		f.Every(time.Duration(float64(time.Minute)/killsPerMinute), func() bool {
+			killOne(f)
+			return found.calls < calls
+		})
 	}
-	f.Run(10 * time.Second)
+	f.Run(time.Duration(calls)*callEvery + 10*time.Second)
 	for _, claims := range service.Runs {
 		if len(claims) > 1 {
 			found.doubled++
@@ -170,6 +167,14 @@
 	return found
 }
 
+// killOne kills a VM; the list shows it and its replacement later.
+func killOne(f *fleet.Fleet) {
+	up := f.All()
+	node := up[f.Rand.IntN(len(up))]
+	node.Kill()
+	f.After(listDelay, func() { f.Replace(node) })
+}
+
 // count takes what a caller heard; until then its call counted as unknown.
 func (o *outcomes) count(result fleet.Result) {
 	switch result.Outcome {
--- a/internal/bench/config/scale.go
+++ b/internal/bench/config/scale.go
@@ -40,6 +40,6 @@
 		target: target(420, 31, 11), changes: 25, span: 15 * time.Second,
 		centreSizes: []int{10, 14, 18}, changeRates: []float64{0.25, 1, 2}, dataCentres: []int{4, 8, 16},
 		adapters: []int{3000, 6000, 12_000}, claims: []int{5000, 10_000, 20_000}, lookups: 200_000,
-		calls: 12_000, kills: []float64{0, 0.5, 2},
+		calls: 12_000, kills: []float64{0, 1, 4},
 	}
 }
