--- /dev/null
+++ b/cmd/wagtailspoked/main.go
@@ -0,0 +1,94 @@
+// Command wagtailspoked is the entry daemon of one VM.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/daemon"
+	"github.com/wagtailspoke/wagtailspoke/pkg/settings"
+)
+
+// Exit codes, the same for all commands of the project.
+const (
+	exitRuntime  = 1
+	exitUsage    = 2
+	exitSettings = 3
+)
+
+// runError marks failures after the settings were accepted.
+type runError struct{ error }
+
+func (e *runError) Unwrap() error { return e.error }
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "wagtailspoked:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var run *runError
+	var field *settings.FieldError
+	switch {
+	case errors.As(err, &run):
+		return exitRuntime
+	case errors.As(err, &field):
+		return exitSettings
+	}
+	return exitUsage
+}
+
+func command() *cobra.Command {
+	var file string
+	root := &cobra.Command{
+		Use:           "wagtailspoked",
+		Short:         "Entry daemon of one VM",
+		Version:       version(),
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.Flags().StringVar(&file, "settings", "", "settings file in JSON; flags override it")
+	overrides := settings.BindFlags(root)
+	root.RunE = func(*cobra.Command, []string) error {
+		entry, err := settings.Load(file, overrides())
+		if err != nil {
+			return err
+		}
+		return run(entry)
+	}
+	return root
+}
+
+// run serves until SIGTERM or SIGINT, then drains. A second signal ends the
+// process at once.
+func run(entry settings.Entry) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	d := daemon.New(entry, daemon.Options{LogOutput: os.Stderr, Version: version()})
+	if err := d.Start(); err != nil {
+		return &runError{err}
+	}
+	if err := d.Run(ctx); err != nil {
+		return &runError{err}
+	}
+	return nil
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/pkg/daemon/gate.go
@@ -0,0 +1,202 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/admin"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/callers"
+)
+
+// gatekeeper counts the open requests of callers and refuses new ones during
+// a graceful shutdown.
+type gatekeeper struct {
+	mu       sync.Mutex
+	count    int64
+	draining bool
+	drained  bool
+	since    time.Time
+	// idle is closed when the last request ends during a drain.
+	idle chan struct{}
+}
+
+func (g *gatekeeper) open() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.count
+}
+
+// enter counts a request as open.
+func (g *gatekeeper) enter(most int64) *callers.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining {
+		return callers.NotRun(inferencev1.Reason_REASON_DRAINING, "this VM is shutting down")
+	}
+	if g.count >= most {
+		return callers.NotRun(inferencev1.Reason_REASON_QUEUE_FULL, "this VM has too many open requests")
+	}
+	g.count++
+	return nil
+}
+
+func (g *gatekeeper) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.count--
+	if g.draining && g.count == 0 {
+		g.finish()
+	}
+}
+
+// drain refuses new requests and returns a channel that is closed when none
+// is open.
+func (g *gatekeeper) drain() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.draining {
+		g.draining = true
+		g.since = time.Now()
+		g.idle = make(chan struct{})
+		if g.count == 0 {
+			g.finish()
+		}
+	}
+	return g.idle
+}
+
+// finish is called with the lock held.
+func (g *gatekeeper) finish() {
+	if !g.drained {
+		g.drained = true
+		close(g.idle)
+	}
+}
+
+func (g *gatekeeper) isDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
+// Enter implements callers.Backend.
+func (d *Daemon) Enter() (func(), *callers.Refusal) {
+	if !d.ready.Load() {
+		return nil, callers.NotRun(inferencev1.Reason_REASON_NOT_READY, "this VM has no complete view of the records yet")
+	}
+	if refusal := d.gate.enter(d.settings.Limits.MaxOpenRequests); refusal != nil {
+		return nil, refusal
+	}
+	return d.gate.leave, nil
+}
+
+// Ready implements admin.Source.
+func (d *Daemon) Ready() (bool, string) {
+	switch {
+	case d.gate.isDraining():
+		return false, "draining"
+	case !d.ready.Load():
+		return false, "no complete view of the records yet"
+	}
+	return true, ""
+}
+
+// Drain implements admin.Source. It refuses new requests at once; open ones
+// go on.
+func (d *Daemon) Drain() {
+	if d.gate.isDraining() {
+		return
+	}
+	d.gate.drain()
+	d.at("drain", "").WithField("waitingFor", d.waitingFor()).Info("draining")
+	// Callers' kept connections close after their next answer, so that the
+	// load balancer sends nothing more here.
+	for _, server := range d.servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+}
+
+// drainLogInterval is how often a drain says what it waits for.
+const drainLogInterval = 2 * time.Second
+
+// Run serves until the context ends, then drains and stops. It returns an
+// error if requests were still open when the drain timeout passed.
+func (d *Daemon) Run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-d.ctx.Done():
+		return nil
+	}
+	err := d.Shutdown()
+	d.Stop()
+	return err
+}
+
+// Shutdown drains and waits until all requests have ended.
+func (d *Daemon) Shutdown() error {
+	d.Drain()
+	if !d.rules.drainWaits {
+		return nil
+	}
+	idle := d.gate.drain()
+	timeout := time.NewTimer(d.settings.Timeouts.Drain.Duration())
+	defer timeout.Stop()
+	say := time.NewTicker(drainLogInterval)
+	defer say.Stop()
+	for {
+		select {
+		case <-idle:
+			d.at("drain", "").Info("drained")
+			d.flushAnswers()
+			return nil
+		case <-say.C:
+			d.at("drain", "").WithField("waitingFor", d.waitingFor()).Info("still draining")
+		case <-timeout.C:
+			waiting := d.waitingFor()
+			d.at("drain", "").WithField("waitingFor", waiting).Error("drain timed out")
+			return fmt.Errorf("drain timed out while waiting for %v", waiting)
+		}
+	}
+}
+
+// flushTimeout bounds the wait for the last bytes of answers to leave.
+const flushTimeout = 5 * time.Second
+
+// flushAnswers lets net/http finish the answers whose handlers have returned.
+func (d *Daemon) flushAnswers() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	for _, server := range d.servers {
+		_ = server.Shutdown(ctx)
+	}
+}
+
+// waitingFor lists what a drain waits for.
+func (d *Daemon) waitingFor() []string {
+	var list []string
+	queued := 0
+	for _, queue := range d.allQueues() {
+		queued += queue.queue.Len()
+	}
+	if open := d.gate.open(); open > 0 {
+		list = append(list, fmt.Sprintf("%d open requests, of which %d are queued and %d sent to endpoints", open, queued, d.committed.Load()))
+	}
+	return list
+}
+
+// drainStatus describes the drain for the status document.
+func (d *Daemon) drainStatus() admin.Drain {
+	d.gate.mu.Lock()
+	draining, drained, since := d.gate.draining, d.gate.drained, d.gate.since
+	d.gate.mu.Unlock()
+	switch {
+	case !draining:
+		return admin.Drain{State: admin.DrainNone}
+	case drained:
+		return admin.Drain{State: admin.DrainFinished, SinceMS: time.Since(since).Milliseconds()}
+	}
+	return admin.Drain{State: admin.DrainPending, SinceMS: time.Since(since).Milliseconds(), WaitingFor: d.waitingFor()}
+}
--- a/pkg/daemon/generate.go
+++ b/pkg/daemon/generate.go
@@ -136,7 +136,7 @@
 		}
 		g.daemon.noteFailure(failure, assigned, g.ref)
 		if !decision.Retry {
-			return callers.Generated{}, g.ended(decision, failure)
+			return callers.Generated{}, g.ended(failure)
 		}
 		g.queue.queue.Settle(g.asked.Identity.Customer, g.cost)
 		g.request.Tried = append(g.request.Tried, decision.AvoidEndpoint)
@@ -215,12 +215,8 @@
 }
 
 // ended builds the refusal of a request whose last attempt failed.
-func (g *generation) ended(decision lifecycle.Decision, failure *engines.Failure) *callers.Refusal {
+func (g *generation) ended(failure *engines.Failure) *callers.Refusal {
 	outcome, reason, retryAfter := g.state.Ending()
-	if outcome == lifecycle.OutcomePending {
-		decision = g.state.Abandon()
-		outcome, reason = decision.Outcome, decision.Reason
-	}
 	return refusalOfFailure(outcome, reason, retryAfter, failure)
 }
 
--- a/pkg/daemon/queue.go
+++ b/pkg/daemon/queue.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fairqueue"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/placement"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/routing"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
@@ -267,7 +269,7 @@
 func (q *modelQueue) tellDemand(now time.Time) {
 	told := make(map[ids.VMID][]peer.WaitingWork)
 	for _, demand := range q.queue.Demands(now) {
-		full := len(q.daemon.planner.Locations(demand.Ref)) > 0
+		full := q.isResident(demand.Ref)
 		if full && demand.Oldest < replicaAfter {
 			continue
 		}
@@ -292,6 +294,11 @@
 	}
 }
 
+// isResident tells whether some engine holds the adapter version.
+func (q *modelQueue) isResident(ref ids.AdapterRef) bool {
+	return slices.ContainsFunc(q.daemon.planner.Holders(ref.Adapter), func(h placement.Holding) bool { return h.Ref == ref })
+}
+
 // askPin asks the owner of an endpoint for a pin, once at a time.
 func (q *modelQueue) askPin(pin peer.PinKey) {
 	q.mu.Lock()
--- /dev/null
+++ b/pkg/daemon/status.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
+	"github.com/wagtailspoke/wagtailspoke/pkg/state/catalog"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/admin"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/callers"
+)
+
+// Authenticate implements callers.Backend.
+func (d *Daemon) Authenticate(hash callers.KeyHash) (ids.CustomerID, inferencev1.Reason) {
+	customer, state := d.catalog.View().CustomerByKey(catalog.KeyHash(hash))
+	switch state {
+	case catalog.KeyActive:
+		return customer, inferencev1.Reason_REASON_UNSPECIFIED
+	case catalog.KeyWithdrawn:
+		return "", inferencev1.Reason_REASON_KEY_WITHDRAWN
+	}
+	return "", inferencev1.Reason_REASON_KEY_UNKNOWN
+}
+
+// Route implements callers.Backend.
+func (d *Daemon) Route(path string) (ids.RouteID, *records.Route, bool) {
+	route, ok := d.catalog.View().Route(path)
+	return route.ID, route.Route, ok
+}
+
+// ViewAge implements callers.Backend. A view that was never confirmed is as
+// old as the process.
+func (d *Daemon) ViewAge() time.Duration {
+	now := time.Now()
+	if age, ok := d.relay.ViewAge(now); ok {
+		return age
+	}
+	return now.Sub(d.started)
+}
+
+// never stands in the status for something that did not happen yet.
+const never = -1
+
+// Status implements admin.Source.
+func (d *Daemon) Status() admin.Status {
+	now := time.Now()
+	ready, reason := d.Ready()
+	status := admin.Status{
+		VM:         d.settings.VMID,
+		Boot:       d.boot,
+		DataCentre: d.settings.DataCentre,
+		Region:     d.settings.Region,
+		Version:    d.options.Version,
+		UptimeMS:   now.Sub(d.started).Milliseconds(),
+		Ready:      ready,
+		NotReady:   reason,
+		Drain:      d.drainStatus(),
+		Catalog:    d.catalogStatus(now),
+		List:       d.listStatus(now),
+		Customers:  d.customerStatus(now),
+		Endpoints:  d.endpointStatus(now),
+		Peers:      d.peerStatus(now),
+		Requests:   admin.RequestStatus{Committed: int(d.committed.Load())},
+	}
+	for _, queue := range d.allQueues() {
+		lengths := make(map[string]int)
+		for _, demand := range queue.queue.Demands(now) {
+			lengths[demand.Ref.String()] += demand.Requests
+		}
+		for model, length := range lengths {
+			status.Queues = append(status.Queues, admin.QueueStatus{Model: model, Length: length})
+			status.Requests.Queued += length
+		}
+	}
+	return status
+}
+
+func (d *Daemon) catalogStatus(now time.Time) admin.CatalogStatus {
+	view := d.relay.Status(now)
+	status := admin.CatalogStatus{Revision: view.Records, AgeMillis: never, Watching: view.Watcher}
+	if view.RecordsConfirmed {
+		status.AgeMillis = view.RecordsAge.Milliseconds()
+	}
+	for _, count := range d.catalog.Counts() {
+		status.Records += count
+	}
+	for _, refused := range d.catalog.Refused() {
+		status.Refused = append(status.Refused, refused.Key+": "+refused.Reason)
+	}
+	return status
+}
+
+func (d *Daemon) listStatus(now time.Time) admin.ListStatus {
+	list := d.members.List()
+	status := admin.ListStatus{Revision: list.Revision, VMs: len(list.VMs), AgeMillis: never}
+	if at := d.members.ConfirmedAt(); !at.IsZero() {
+		status.AgeMillis = now.Sub(at).Milliseconds()
+	}
+	return status
+}
+
+func (d *Daemon) customerStatus(now time.Time) []admin.CustomerStatus {
+	var list []admin.CustomerStatus
+	for _, state := range d.tokens.table.Snapshot(now).Customers {
+		status := admin.CustomerStatus{Customer: state.Customer, Level: state.Level, Cap: state.Cap, Rate: state.Rate}
+		for _, vm := range state.PendingOn {
+			status.WaitingFor = append(status.WaitingFor, string(vm))
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+func (d *Daemon) endpointStatus(now time.Time) []admin.EndpointStatus {
+	var list []admin.EndpointStatus
+	for _, endpoint := range d.catalog.View().Endpoints() {
+		owner, _ := d.ownerOf(endpoint.ID)
+		status := admin.EndpointStatus{
+			Endpoint:   endpoint.ID,
+			DataCentre: endpoint.DataCentre,
+			Kind:       string(endpoint.Kind),
+			State:      string(endpoint.State),
+			Owner:      owner,
+			Owned:      d.table.Owns(endpoint.ID),
+			Reachable:  d.reports.reachable(endpoint.ID),
+		}
+		if report, known := d.reports.get(endpoint.ID); known {
+			status.Boot, status.Resident = report.Boot, report.Resident
+			status.Running, status.Waiting = report.Running, report.Waiting
+		}
+		if status.Owned {
+			fence, err := d.table.MayOrder(now, endpoint.ID)
+			status.Fence, status.MayOrder = fence, err == nil
+			if err != nil {
+				status.NoOrder = err.Error()
+			}
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+func (d *Daemon) peerStatus(now time.Time) []admin.PeerStatus {
+	traffic := d.peers.Traffic()
+	var list []admin.PeerStatus
+	for _, vm := range d.members.List().VMs {
+		if vm.ID == d.settings.VMID {
+			continue
+		}
+		status := admin.PeerStatus{
+			VM:         vm.ID,
+			DataCentre: vm.DataCentre,
+			Reachable:  d.members.Reachable(now, vm.ID),
+			AgeMillis:  never,
+			BytesIn:    traffic.Wire[vm.ID].BytesIn,
+			BytesOut:   traffic.Wire[vm.ID].BytesOut,
+		}
+		if state, heard := d.members.Peer(vm.ID); heard {
+			status.Boot = state.Boot
+			status.Revision = state.Digest.Records
+			status.AgeMillis = now.Sub(state.HeardAt).Milliseconds()
+		}
+		list = append(list, status)
+	}
+	return list
+}
--- a/pkg/daemon/tokens.go
+++ b/pkg/daemon/tokens.go
@@ -101,7 +101,8 @@
 	if charge == nil || unused <= 0 {
 		return
 	}
-	t.carryOut(charge.Customer, t.table.Refund(time.Now(), charge, unused))
+	_, outcome := t.table.Refund(time.Now(), charge, unused)
+	t.carryOut(charge.Customer, outcome)
 }
 
 // carryOut does what a decision asks for.
--- a/pkg/transport/engines/client.go
+++ b/pkg/transport/engines/client.go
@@ -48,19 +48,25 @@
 type Config struct {
 	// DialTimeout bounds the TCP handshake.
 	DialTimeout time.Duration
-	// Silence is the longest time without a byte before a connection counts
-	// as silent, for the first byte and between two.
-	Silence time.Duration
+	// FirstByte is the longest wait for the first byte of an answer and
+	// Silence that between two, before a connection counts as silent.
+	FirstByte time.Duration
+	Silence   time.Duration
+	// Order is the longest wait for the answer to an order. A load answers
+	// only when the adapter is resident.
+	Order time.Duration
 	// MaxAnswerBytes bounds one unary answer of an endpoint.
 	MaxAnswerBytes int64
 }
 
 // DefaultConfig holds the bounds that suit endpoints at most a few
-// milliseconds away. Silence is above the longest queueing that an engine
+// milliseconds away. FirstByte is above the longest queueing that an engine
 // shows before the first token.
 var DefaultConfig = Config{
 	DialTimeout:    time.Second,
+	FirstByte:      5 * time.Second,
 	Silence:        5 * time.Second,
+	Order:          10 * time.Second,
 	MaxAnswerBytes: 16 << 20,
 }
 
@@ -195,9 +201,8 @@
 	errEnded  = errors.New("the call has ended")
 )
 
-// start opens a call whose context ends when no byte arrives for the
-// client's silence bound.
-func (c *Client) start(ctx context.Context, endpoint Endpoint, step string) *call {
+// start opens a call whose context ends when no first byte arrives in time.
+func (c *Client) start(ctx context.Context, endpoint Endpoint, step string, firstByte time.Duration) *call {
 	ctx, cancel := context.WithCancelCause(ctx)
 	return &call{
 		client:   c,
@@ -205,7 +210,7 @@
 		step:     step,
 		ctx:      ctx,
 		cancel:   cancel,
-		watchdog: time.AfterFunc(c.config.Silence, func() { cancel(errSilent) }),
+		watchdog: time.AfterFunc(firstByte, func() { cancel(errSilent) }),
 	}
 }
 
--- a/pkg/transport/engines/complete.go
+++ b/pkg/transport/engines/complete.go
@@ -39,7 +39,7 @@
 // the whole answer. token is called for each piece of text, with the number
 // of pieces before it; an error from it ends the request.
 func (c *Client) Complete(ctx context.Context, endpoint Endpoint, completion Completion, token func(text string, offset uint32) error) (Answer, *Failure) {
-	call := c.start(ctx, endpoint, "complete")
+	call := c.start(ctx, endpoint, "complete", c.config.FirstByte)
 	body, err := json.Marshal(engineapi.CompletionRequest{
 		Model:         completion.Model.String(),
 		Prompt:        completion.Prompt,
--- a/pkg/transport/engines/engines_test.go
+++ b/pkg/transport/engines/engines_test.go
@@ -65,6 +65,7 @@
 
 func newTestClient(t *testing.T) *Client {
 	config := DefaultConfig
+	config.FirstByte = 200 * time.Millisecond
 	config.Silence = 200 * time.Millisecond
 	client := New(config)
 	t.Cleanup(client.Close)
--- a/pkg/transport/engines/orders.go
+++ b/pkg/transport/engines/orders.go
@@ -27,7 +27,7 @@
 // kept connection: an order must not be written twice under one check of the
 // authority.
 func (c *Client) order(ctx context.Context, endpoint Endpoint, step, path string, fence ids.Fence, order any, gate Gate) *Failure {
-	call := c.start(ctx, endpoint, step)
+	call := c.start(ctx, endpoint, step, c.config.Order)
 	body, err := json.Marshal(order)
 	if err != nil {
 		call.end()
@@ -56,7 +56,7 @@
 // Report reads the load report of an engine or a plain service.
 func (c *Client) Report(ctx context.Context, endpoint Endpoint) (engineapi.LoadReport, *Failure) {
 	var report engineapi.LoadReport
-	call := c.start(ctx, endpoint, "read load report")
+	call := c.start(ctx, endpoint, "read load report", c.config.FirstByte)
 	response, failure := call.send(transmission{
 		method:     http.MethodGet,
 		target:     engineapi.PathLoad,
--- a/pkg/transport/engines/service.go
+++ b/pkg/transport/engines/service.go
@@ -52,7 +52,7 @@
 // Forward sends a request to a plain service and reads the start of the
 // answer, so that a failure before that point can still be reported as such.
 func (c *Client) Forward(ctx context.Context, endpoint Endpoint, request ServiceCall) (*ServiceAnswer, *Failure) {
-	call := c.start(ctx, endpoint, "call service")
+	call := c.start(ctx, endpoint, "call service", c.config.FirstByte)
 	response, failure := call.send(transmission{
 		method:     request.Method,
 		target:     request.Target,
