Pass acknowledgements of revisions between data centres

Cause: a raised share waits for every listed VM, but VMs of different data centres exchange no heartbeats unless both are watchers, so first shares never came into force beyond one VM a data centre.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -89,6 +89,7 @@
 	rights   *loadRights
 	owner    *owner
 	reports  *reportBook
+	applied  *appliedBook
 	services *servicePicker
 	engines  *engines.Client
 	peers    *peers.Node
@@ -168,6 +169,7 @@
 	d.home = idempotency.NewHome(d.boot, now, d.members)
 	d.owner = newOwner(d)
 	d.reports = newReportBook(d)
+	d.applied = newAppliedBook(d)
 	d.services = newServicePicker(d)
 	config := engines.DefaultConfig
 	config.DialTimeout = d.settings.Timeouts.Connect.Duration()
--- a/pkg/daemon/sync.go
+++ b/pkg/daemon/sync.go
@@ -52,7 +52,7 @@
 
 func (d *Daemon) sendHeartbeat(a relay.SendHeartbeat) {
 	sentAt := time.Now()
-	a.Message.Endpoints = d.reports.due(sentAt, a.To.ID)
+	d.addParts(sentAt, a.To.ID, &a.Message)
 	d.beats.note(a.To.ID, a.Message.Sequence, sentAt)
 	reply, err := peers.Call[peer.Heartbeat](d.ctx, d.peers, a.To.ID, peer.MethodHeartbeat, a.Timeout, a.Message)
 	now := time.Now()
@@ -70,7 +70,7 @@
 // heard tells the parts what a heartbeat, or the reply to one, says.
 func (d *Daemon) heard(now time.Time, beat peer.Heartbeat) {
 	d.table.ObservePeer(now, beat.From, beat.Digest.List, d.beats.sentAt(beat.From, beat.Echo))
-	d.tokens.table.ObserveApplied(beat.From, beat.Digest.Records)
+	d.applied.heard(beat)
 	d.reports.take(now, decodeReports(beat.Endpoints))
 	d.listApplied()
 }
@@ -147,7 +147,7 @@
 		now := time.Now()
 		reply, actions := d.relay.OnHeartbeat(now, beat)
 		d.heard(now, beat)
-		reply.Endpoints = d.reports.due(now, beat.From)
+		d.addParts(now, beat.From, &reply)
 		d.beats.note(beat.From, reply.Sequence, now)
 		d.perform(actions)
 		return reply, nil
