--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/path"
 )
 
@@ -28,6 +29,7 @@
 // experiments lists the subcommands, one for each package below internal/bench.
 func experiments() []*cobra.Command {
 	return []*cobra.Command{
+		config.Command(),
 		path.Command(),
 	}
 }
