Add the demonstration of two data centres

Cause: a reader needs one command that shows the system at work and fails when something does not match.

--- a/pkg/ctl/demo.go
+++ b/pkg/ctl/demo.go
@@ -1,5 +1,46 @@
 package ctl
 
-import "github.com/spf13/cobra"
+import (
+	"os"
+	"path/filepath"
 
-func demoCommand() *cobra.Command { return &cobra.Command{Use: "demo"} }
+	"github.com/spf13/cobra"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/ctl/demo"
+)
+
+// daemonName is the name of the entry daemon's binary.
+const daemonName = "wagtailspoked"
+
+func demoCommand() *cobra.Command {
+	var options demo.Options
+	command := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a deployment of two data centres on loopback with stand-ins, and check it",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if options.Daemon == "" {
+				options.Daemon = besideThisProgram()
+			}
+			if _, err := os.Stat(options.Daemon); err != nil {
+				return demo.ErrNoDaemon
+			}
+			return demo.Run(command.Context(), options, command.OutOrStdout())
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.Daemon, "daemon", "", "path of the wagtailspoked binary (default: beside wagtailctl)")
+	flags.DurationVar(&options.Serve, "serve", 0, "stay up for this time after the checks")
+	flags.BoolVar(&options.KeepLogs, "keep-logs", false, "keep the settings and logs of the daemons")
+	return command
+}
+
+// besideThisProgram returns the path of the daemon in this program's
+// directory.
+func besideThisProgram() string {
+	program, err := os.Executable()
+	if err != nil {
+		return daemonName
+	}
+	return filepath.Join(filepath.Dir(program), daemonName)
+}
