--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -186,3 +186,24 @@
 	assert.Equal(t, code, ExitFailure)
 	assert.Assert(t, strings.Contains(errOut, "waiting for: 2 requests"), errOut)
 }
+
+// Guards against an example on the configuration page that does not pass the
+// check it describes.
+func TestExamplesOfThePageAreValid(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "configuration.md"))
+	assert.NilError(t, err)
+	blocks := strings.Split(string(page), "```json\n")
+	assert.Equal(t, len(blocks), 4)
+	for i, block := range blocks[1:] {
+		example, _, _ := strings.Cut(block, "```")
+		line := []string{"records", "check", write(t, "e.json", example)}
+		if i == 0 {
+			line[0] = "settings"
+		}
+		if i == 2 {
+			line = append(line, "--complete")
+		}
+		code, _, errOut := run(t, line...)
+		assert.Equal(t, code, ExitDone, "example %d: %s", i, errOut)
+	}
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -124,3 +124,14 @@
 		assert.DeepEqual(t, entry, repeated)
 	})
 }
+
+// Guards against a page that misses a field, its flag or its range.
+func TestPageListsEveryField(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "configuration.md"))
+	assert.NilError(t, err)
+	entry := Defaults()
+	for _, f := range fields(&entry) {
+		row := "| `" + f.path + "` | `--" + f.flagName() + "` | " + f.usage + " | " + f.allowed + " | "
+		assert.Assert(t, strings.Contains(string(page), row), "the page misses the row %s", row)
+	}
+}
