--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -17,6 +17,7 @@
 	"github.com/wagtailspoke/wagtailspoke/internal/standin/platform"
 	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
 	"github.com/wagtailspoke/wagtailspoke/pkg/settings"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/admin"
 )
@@ -207,3 +208,14 @@
 		assert.Equal(t, code, ExitDone, "example %d: %s", i, errOut)
 	}
 }
+
+// Guards against a reason that callers meet and no page explains.
+func TestEveryReasonIsOnThePage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	assert.NilError(t, err)
+	for number, name := range inferencev1.Reason_name {
+		if row := "| " + strings.TrimPrefix(name, "REASON_") + " |"; number != 0 {
+			assert.Assert(t, strings.Contains(string(page), row), "the page misses %s", name)
+		}
+	}
+}
