Make two tests strict that passed with their rule off

Cause: with the report lag or the secret field names switched off in a trial copy, the tests of both still passed. Change: the lag test now states the earliest time, the redaction test uses a redactor that knows no hash. Both fail in the trial copy with the rule off. Conclusion: each rule is now guarded.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -190,6 +190,7 @@
 		assert.Equal(t, len(first.Resident), 0)
 	}
 	waitFor(t, func() bool { return len(report(t, e).Resident) == 1 })
+	assert.Assert(t, time.Since(loaded) >= 300*time.Millisecond)
 	before := report(t, e)
 	e.Restart()
 	after := report(t, e)
--- a/pkg/observability/observability_test.go
+++ b/pkg/observability/observability_test.go
@@ -77,6 +77,9 @@
 	logger.Info("got key " + callerKey)
 	assert.Assert(t, strings.Contains(out.String(), callerKey))
 	unknown := &Redactor{}
+	out.Reset()
+	NewLogger(&out, "info", unknown).WithField("authorization", callerKey).Info("by name")
+	assert.Assert(t, !strings.Contains(out.String(), callerKey), out.String())
 	assert.Equal(t, unknown.Clean("sent Bearer "+callerKey), "sent Bearer "+Redacted)
 }
 
