--- a/pkg/transport/engines/client.go
+++ b/pkg/transport/engines/client.go
@@ -48,19 +48,25 @@
 type Config struct {
 	// DialTimeout bounds the TCP handshake.
 	DialTimeout time.Duration
-	// Silence is the longest time without a byte before a connection counts
-	// as silent, for the first byte and between two.
-	Silence time.Duration
+	// FirstByte is the longest wait for the first byte of an answer and
+	// Silence that between two, before a connection counts as silent.
+	FirstByte time.Duration
+	Silence   time.Duration
+	// Order is the longest wait for the answer to an order. A load answers
+	// only when the adapter is resident.
+	Order time.Duration
 	// MaxAnswerBytes bounds one unary answer of an endpoint.
 	MaxAnswerBytes int64
 }
 
 // DefaultConfig holds the bounds that suit endpoints at most a few
-// milliseconds away. Silence is above the longest queueing that an engine
+// milliseconds away. FirstByte is above the longest queueing that an engine
 // shows before the first token.
 var DefaultConfig = Config{
 	DialTimeout:    time.Second,
+	FirstByte:      5 * time.Second,
 	Silence:        5 * time.Second,
+	Order:          10 * time.Second,
 	MaxAnswerBytes: 16 << 20,
 }
 
@@ -90,6 +96,8 @@
 	// freshConnections sends calls that may not be repeated on connections
 	// of their own, and without an Idempotency-Key header.
 	freshConnections bool
+	// sendOnce lets the bytes of a call leave on one connection only.
+	sendOnce bool
 	// closeSilent closes the pool of an endpoint after a silent connection.
 	closeSilent bool
 	// matchAnswers compares the model and id of answers with the request's.
@@ -102,7 +110,7 @@
 func New(config Config) *Client {
 	c := &Client{
 		config: config,
-		rules:  rules{freshConnections: true, closeSilent: true, matchAnswers: true, wholeStreams: true},
+		rules:  rules{freshConnections: true, sendOnce: true, closeSilent: true, matchAnswers: true, wholeStreams: true},
 		pools:  make(map[string]*http.Transport),
 	}
 	c.fresh = c.newTransport()
@@ -177,14 +185,24 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	watchdog *time.Timer
-	sent     atomic.Bool
+	progress atomic.Int32
 }
 
-var errSilent = errors.New("no byte within the allowed time")
+// The progress of a call. A call that failed before its first byte left is
+// closed, so that net/http's writer, which may still run, writes nothing.
+const (
+	progressPending int32 = iota
+	progressSent
+	progressClosed
+)
+
+var (
+	errSilent = errors.New("no byte within the allowed time")
+	errEnded  = errors.New("the call has ended")
+)
 
-// start opens a call whose context ends when no byte arrives for the
-// client's silence bound.
-func (c *Client) start(ctx context.Context, endpoint Endpoint, step string) *call {
+// start opens a call whose context ends when no first byte arrives in time.
+func (c *Client) start(ctx context.Context, endpoint Endpoint, step string, firstByte time.Duration) *call {
 	ctx, cancel := context.WithCancelCause(ctx)
 	return &call{
 		client:   c,
@@ -192,7 +210,7 @@
 		step:     step,
 		ctx:      ctx,
 		cancel:   cancel,
-		watchdog: time.AfterFunc(c.config.Silence, func() { cancel(errSilent) }),
+		watchdog: time.AfterFunc(firstByte, func() { cancel(errSilent) }),
 	}
 }
 
@@ -274,6 +292,15 @@
 	g.next.Store(&gatedRequest{call: c, gate: gate})
 }
 
+// begin notes that bytes leave. It allows one connection a call, whatever
+// net/http takes for replayable.
+func (c *call) begin() bool {
+	if c.progress.CompareAndSwap(progressPending, progressSent) {
+		return true
+	}
+	return !c.client.rules.sendOnce && c.progress.Load() == progressSent
+}
+
 func (g *gatedConn) Write(buffer []byte) (int, error) {
 	request := g.next.Swap(nil)
 	if request == nil {
@@ -284,10 +311,12 @@
 			return 0, &gateError{err}
 		}
 	}
-	request.call.sent.Store(true)
+	if !request.call.begin() {
+		return 0, &gateError{errEnded}
+	}
 	n, err := g.Conn.Write(buffer)
 	if n == 0 && err != nil {
-		request.call.sent.Store(false)
+		request.call.progress.CompareAndSwap(progressSent, progressPending)
 	}
 	return n, err
 }
@@ -323,7 +352,8 @@
 	if cause == CauseSilent && c.client.rules.closeSilent {
 		c.client.pool(c.endpoint.Address).CloseIdleConnections()
 	}
-	return &Failure{Endpoint: c.endpoint.ID, Step: c.step, Cause: cause, Sent: c.sent.Load(), Err: err}
+	sent := !c.progress.CompareAndSwap(progressPending, progressClosed) && c.progress.Load() == progressSent
+	return &Failure{Endpoint: c.endpoint.ID, Step: c.step, Cause: cause, Sent: sent, Err: err}
 }
 
 // transportFailure classifies an error of net/http.
