--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -17,6 +17,7 @@
 	"github.com/wagtailspoke/wagtailspoke/internal/standin/platform"
 	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
 	"github.com/wagtailspoke/wagtailspoke/pkg/settings"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/admin"
 )
@@ -186,3 +187,35 @@
 	assert.Equal(t, code, ExitFailure)
 	assert.Assert(t, strings.Contains(errOut, "waiting for: 2 requests"), errOut)
 }
+
+// Guards against an example on the configuration page that does not pass the
+// check it describes.
+func TestExamplesOfThePageAreValid(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "configuration.md"))
+	assert.NilError(t, err)
+	blocks := strings.Split(string(page), "```json\n")
+	assert.Equal(t, len(blocks), 4)
+	for i, block := range blocks[1:] {
+		example, _, _ := strings.Cut(block, "```")
+		line := []string{"records", "check", write(t, "e.json", example)}
+		if i == 0 {
+			line[0] = "settings"
+		}
+		if i == 2 {
+			line = append(line, "--complete")
+		}
+		code, _, errOut := run(t, line...)
+		assert.Equal(t, code, ExitDone, "example %d: %s", i, errOut)
+	}
+}
+
+// Guards against a reason that callers meet and no page explains.
+func TestEveryReasonIsOnThePage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	assert.NilError(t, err)
+	for number, name := range inferencev1.Reason_name {
+		if row := "| " + strings.TrimPrefix(name, "REASON_") + " |"; number != 0 {
+			assert.Assert(t, strings.Contains(string(page), row), "the page misses %s", name)
+		}
+	}
+}
