--- a/pkg/coordination/ownership/authority.go
+++ b/pkg/coordination/ownership/authority.go
@@ -113,7 +113,7 @@
 	if err != ErrUnconfirmed {
 		return err
 	}
-	if now.Sub(a.touchedAt) > a.terms.AuthorityTerm || !a.basisAt.After(a.wokeAt) {
+	if now.Sub(a.touchedAt) > a.terms.AuthorityTerm || a.basisAt.Before(a.wokeAt) {
 		return ErrUnconfirmed
 	}
 	return nil
--- a/pkg/coordination/ownership/table.go
+++ b/pkg/coordination/ownership/table.go
@@ -55,6 +55,10 @@
 	// without a gap; ownedThrough is the last such revision.
 	gainedAt     ids.Revision
 	ownedThrough ids.Revision
+	// ask lists whom to ask for a handover, and answered tells that the former
+	// owner has answered.
+	ask      []ids.VMID
+	answered bool
 	// ordersFrom ends the wait for orders of a former owner, grantsEnd the time
 	// in which it may grant pins, and evictionsFrom the wait for those pins.
 	ordersFrom    time.Time
@@ -233,7 +237,9 @@
 		known.grantsEnd = known.ordersFrom
 		known.evictionsFrom = now.Add(t.cfg.Terms.evictionsWait())
 	}
-	return []Change{{Kind: Gained, Endpoint: id, Revision: revision, Ask: t.formerOwners(id, t.view.previous)}}
+	known.ask = t.formerOwners(id, t.view.previous)
+	known.answered = false
+	return []Change{{Kind: Gained, Endpoint: id, Revision: revision, Ask: known.ask}}
 }
 
 // formerOwners lists whom to ask for a handover, given the list before.
@@ -487,6 +493,7 @@
 	sort.Slice(out.Pins, func(i, j int) bool {
 		return out.Pins[i].Ref.String()+string(out.Pins[i].Holder) < out.Pins[j].Ref.String()+string(out.Pins[j].Holder)
 	})
+	sort.Slice(out.Evictions, func(i, j int) bool { return out.Evictions[i].Ref.String() < out.Evictions[j].Ref.String() })
 	return out
 }
 
@@ -519,6 +526,27 @@
 	return changes
 }
 
+// PendingHandovers lists the endpoints whose wait for a former owner runs, with
+// the VMs to ask. The daemon asks again about every second, since questions
+// and answers may be lost.
+func (t *Table) PendingHandovers(now time.Time) []Change {
+	t.view.mu.RLock()
+	defer t.view.mu.RUnlock()
+	var out []Change
+	for i := range t.shards {
+		shard := &t.shards[i]
+		shard.mu.Lock()
+		for id, known := range shard.endpoints {
+			if known.owned && !known.answered && now.Before(known.evictionsFrom) {
+				out = append(out, Change{Kind: Gained, Endpoint: id, Revision: known.gainedAt, Ask: known.ask})
+			}
+		}
+		shard.mu.Unlock()
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint < out[j].Endpoint })
+	return out
+}
+
 // askInstead finds the former owner of a gained endpoint from another VM's
 // copy of the list before the gain.
 func (t *Table) askInstead(id ids.EndpointID, previous platformapi.VMList) (ids.VMID, bool) {
@@ -530,7 +558,11 @@
 		return "", false
 	}
 	former, ok := Owner(id, t.cfg.DataCentre, previous)
-	return former, ok && former != t.cfg.Self
+	if !ok || former == t.cfg.Self {
+		return "", false
+	}
+	known.ask = []ids.VMID{former}
+	return former, true
 }
 
 // takeOver ends the wait of one endpoint by its former owner's answer. Only
@@ -547,6 +579,7 @@
 	if part.OwnedThrough == 0 || part.OwnedThrough+1 != known.gainedAt {
 		return false
 	}
+	known.answered = true
 	known.ordersFrom = earlier(known.ordersFrom, now.Add(withDrift(part.OrdersHeldMillis)))
 	known.grantsEnd = earlier(known.grantsEnd, now.Add(withDrift(part.GrantsHeldMillis)))
 	known.evictionsFrom = earlier(known.evictionsFrom, now.Add(withDrift(part.EvictionsHeldMillis)))
