Place replicas by backlog and pass over crowded engines

Cause: demand for an adapter stayed with a home on which all adapters were pinned, and a resident adapter with full holders got no further copy. Change: Planner.Where, crowded engines, orders with a latest sending time.

--- a/pkg/coordination/placement/demand.go
+++ b/pkg/coordination/placement/demand.go
@@ -33,6 +33,14 @@
 	// fewest comes first, so that one with many cold adapters cannot take all
 	// loads from the others.
 	served map[ids.CustomerID]float64
+	// told finds the endpoint of a pair's latest demand: demand that moves to
+	// another endpoint counts there only.
+	told map[toldKey]ids.EndpointID
+}
+
+type toldKey struct {
+	who waiterKey
+	ref ids.AdapterRef
 }
 
 // need is the summed demand for one load.
@@ -49,6 +57,7 @@
 		term:    term,
 		entries: make(map[demandKey]map[waiterKey]waiters),
 		served:  make(map[ids.CustomerID]float64),
+		told:    make(map[toldKey]ids.EndpointID),
 	}
 }
 
@@ -57,19 +66,28 @@
 	defer b.mu.Unlock()
 	key := demandKey{endpoint: w.Endpoint, ref: w.Ref}
 	who := waiterKey{sender: w.Sender, customer: w.Customer}
+	pair := toldKey{who: who, ref: w.Ref}
+	if before, ok := b.told[pair]; ok && (before != w.Endpoint || w.Requests <= 0) {
+		b.remove(demandKey{endpoint: before, ref: w.Ref}, who)
+	}
 	if w.Requests <= 0 {
-		delete(b.entries[key], who)
-		if len(b.entries[key]) == 0 {
-			delete(b.entries, key)
-		}
 		return
 	}
+	b.told[pair] = w.Endpoint
 	if b.entries[key] == nil {
 		b.entries[key] = make(map[waiterKey]waiters)
 	}
 	b.entries[key][who] = waiters{requests: w.Requests, since: now.Add(-w.Oldest), toldAt: now}
 }
 
+func (b *demandBook) remove(key demandKey, who waiterKey) {
+	delete(b.told, toldKey{who: who, ref: key.ref})
+	delete(b.entries[key], who)
+	if len(b.entries[key]) == 0 {
+		delete(b.entries, key)
+	}
+}
+
 // needs returns the demand in force and drops what was not told again in time.
 func (b *demandBook) needs(now time.Time) []need {
 	b.mu.Lock()
@@ -80,7 +98,7 @@
 		n := need{key: key, customers: make(map[ids.CustomerID]int)}
 		for who, w := range all {
 			if now.Sub(w.toldAt) > b.term {
-				delete(all, who)
+				b.remove(key, who)
 				continue
 			}
 			n.requests += w.requests
@@ -91,7 +109,6 @@
 			}
 		}
 		if n.requests == 0 {
-			delete(b.entries, key)
 			continue
 		}
 		out = append(out, n)
@@ -143,7 +160,9 @@
 func (b *demandBook) drop(key demandKey) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.entries, key)
+	for who := range b.entries[key] {
+		b.remove(key, who)
+	}
 }
 
 // count returns the requests that wait for an adapter version on an endpoint.
--- a/pkg/coordination/placement/home.go
+++ b/pkg/coordination/placement/home.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
 )
 
 // shardCount keeps requests for different adapters from sharing a lock.
@@ -177,13 +178,67 @@
 	return out, total
 }
 
+// Wanted is the demand for one adapter version at this VM.
+type Wanted struct {
+	Ref       ids.AdapterRef
+	BaseModel string
+	Requests  int
+}
+
+// Where tells at which endpoint the waiting requests need a load, and reports
+// false if they need none or none is possible: an adapter version that is
+// resident is loaded once more only if its holders have no room and enough
+// requests wait. The daemon calls it for the demands of its queue and tells
+// the owner of the endpoint.
+func (p *Planner) Where(now time.Time, w Wanted) (ids.EndpointID, bool) {
+	holders, room, batch := 0, 0, 0
+	for _, holding := range p.Holders(w.Ref.Adapter) {
+		if holding.Ref != w.Ref {
+			continue
+		}
+		view, ok := p.View(holding.Endpoint)
+		if !ok || !view.Reachable || view.Record.State != records.EndpointServing {
+			continue
+		}
+		holders++
+		batch = max(batch, view.Record.MaxBatch)
+		room += max(0, view.Record.MaxBatch-view.Running-view.Waiting)
+	}
+	enough := float64(w.Requests) >= p.cfg.ReplicaBacklog*float64(batch)
+	if holders > 0 && (room > 0 || !enough) {
+		return "", false
+	}
+	return p.Home(now, w.Ref, w.BaseModel)
+}
+
+// MarkCrowded notes that the owner of an endpoint could evict nothing there.
+func (p *Planner) MarkCrowded(now time.Time, id ids.EndpointID) {
+	if known := p.engine(id); known != nil {
+		known.mu.Lock()
+		known.crowdedUntil = now.Add(p.cfg.CrowdedTerm)
+		known.mu.Unlock()
+	}
+}
+
+// Crowded tells whether nothing could be evicted on an endpoint lately. Owners
+// put it into the answer to work.wait.
+func (p *Planner) Crowded(now time.Time, id ids.EndpointID) bool {
+	known := p.engine(id)
+	if known == nil {
+		return false
+	}
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	return now.Before(known.crowdedUntil)
+}
+
 // Home returns the endpoint at which an adapter version should be loaded: the
 // highest in rendezvous order whose pending loads are within a bound above the
-// mean. Endpoints that hold the version already, that take no new work or that
-// failed to load it a short while ago are left out. It reports false if none
-// is left.
+// mean and that is not crowded. Endpoints that hold the version already, that
+// take no new work or that failed to load it a short while ago are left out.
+// It reports false if none is left.
 func (p *Planner) Home(now time.Time, ref ids.AdapterRef, baseModel string) (ids.EndpointID, bool) {
-	if id, ok := p.homes.get(now, ref); ok && p.eligible(now, id, ref, baseModel) {
+	if id, ok := p.homes.get(now, ref); ok && p.eligible(now, id, ref, baseModel) && !p.Crowded(now, id) {
 		return id, true
 	}
 	pending, total := p.homes.snapshot()
@@ -200,7 +255,8 @@
 		if relaxed == "" || score > relaxedScore {
 			relaxed, relaxedScore = known.id, score
 		}
-		if float64(pending[known.id]) < bound && (best == "" || score > bestScore) {
+		bounded := float64(pending[known.id]) < bound && !p.Crowded(now, known.id)
+		if bounded && (best == "" || score > bestScore) {
 			best, bestScore = known.id, score
 		}
 	}
--- a/pkg/coordination/placement/plan.go
+++ b/pkg/coordination/placement/plan.go
@@ -165,7 +165,7 @@
 		return Order{}, stepNoRight
 	}
 	known.loading[ref] = true
-	return p.orders.add(now, Order{Kind: OrderLoad, Endpoint: known.id, Ref: ref, Fence: fence, Boot: known.boot}), stepOrdered
+	return p.orders.add(now, Order{Kind: OrderLoad, Endpoint: known.id, Ref: ref, Fence: fence, Boot: known.boot, SendBy: now.Add(p.cfg.SendTerm)}), stepOrdered
 }
 
 func (p *Planner) planEviction(now time.Time, known *engine, n need, gate Gate) (Order, step) {
@@ -173,8 +173,9 @@
 	if p.rules.gate && err != nil {
 		return Order{}, stepSkipped
 	}
-	victim, ok := p.victim(now, known, n, gate)
+	victim, ok := p.victim(now, known, gate)
 	if !ok {
+		known.crowdedUntil = now.Add(p.cfg.CrowdedTerm)
 		return Order{}, stepSkipped
 	}
 	if !gate.TakeLoad(now) {
@@ -184,12 +185,13 @@
 	known.reserved[n.key.ref] = true
 	return p.orders.add(now, Order{
 		Kind: OrderEvict, Endpoint: known.id, Ref: victim, Fence: fence, Boot: known.boot, For: n.key.ref,
+		SendBy: now.Add(p.cfg.SendTerm),
 	}), stepOrdered
 }
 
 // victim chooses the least valuable adapter that may be evicted. The value is
 // the decayed use times the cost of loading it again.
-func (p *Planner) victim(now time.Time, known *engine, n need, gate Gate) (ids.AdapterRef, bool) {
+func (p *Planner) victim(now time.Time, known *engine, gate Gate) (ids.AdapterRef, bool) {
 	type candidate struct {
 		ref   ids.AdapterRef
 		value float64
@@ -300,5 +302,5 @@
 		return nil
 	}
 	known.loading[order.For] = true
-	return []Order{p.orders.add(now, Order{Kind: OrderLoad, Endpoint: known.id, Ref: order.For, Fence: fence, Boot: known.boot})}
+	return []Order{p.orders.add(now, Order{Kind: OrderLoad, Endpoint: known.id, Ref: order.For, Fence: fence, Boot: known.boot, SendBy: now.Add(p.cfg.SendTerm)})}
 }
--- a/pkg/coordination/placement/residency.go
+++ b/pkg/coordination/placement/residency.go
@@ -31,6 +31,9 @@
 	// loading and evicting hold the orders in flight, by adapter.
 	loading  map[ids.AdapterRef]bool
 	evicting map[ids.AdapterRef]bool
+	// crowdedUntil passes the engine over as a home while all its adapters are
+	// pinned or wanted.
+	crowdedUntil time.Time
 	// reserved holds loads that have a right and wait for an eviction.
 	reserved map[ids.AdapterRef]bool
 }
--- a/pkg/coordination/placement/types.go
+++ b/pkg/coordination/placement/types.go
@@ -25,12 +25,26 @@
 	// Patience is how long the throughput policy lets a single waiting request
 	// wait for others of its adapter before it loads for it.
 	Patience time.Duration
-	// OrderTerm is when an order without an answer is given up.
+	// SendTerm is how long after its planning an order may be sent.
+	SendTerm time.Duration
+	// OrderTerm is when an order without an answer is given up. It is longer
+	// than SendTerm and the longest load together.
 	OrderTerm time.Duration
+	// ReplicaBacklog is the number of requests, as a share of an engine's
+	// batch, that must wait for a resident adapter before it is loaded once
+	// more.
+	ReplicaBacklog float64
+	// CrowdedTerm is how long an engine on which nothing could be evicted is
+	// passed over as a home.
+	CrowdedTerm time.Duration
 }
 
 // DefaultConfig returns the settings in use for a policy.
 func DefaultConfig(policy records.Policy) Config {
+	backlog := latencyBacklog
+	if policy == records.PolicyThroughput {
+		backlog = throughputBacklog
+	}
 	return Config{
 		Policy:       policy,
 		ReportLag:    3 * time.Second,
@@ -40,10 +54,21 @@
 		BackoffMost:  30 * time.Second,
 		HomeTerm:     10 * time.Second,
 		Patience:     time.Second,
+		SendTerm:     2 * time.Second,
 		OrderTerm:    15 * time.Second,
+
+		ReplicaBacklog: backlog,
+		CrowdedTerm:    2 * time.Second,
 	}
 }
 
+// The latency policy replicates before a batch's worth of requests waits; the
+// throughput policy keeps requests together until more than a batch waits.
+const (
+	latencyBacklog    = 0.25
+	throughputBacklog = 1.0
+)
+
 // Report is an engine's load report. Engines publish it with a lag.
 type Report struct {
 	Endpoint ids.EndpointID
@@ -102,6 +127,9 @@
 	Boot ids.BootID
 	// For is the adapter version that an eviction makes room for.
 	For ids.AdapterRef
+	// SendBy is when the order must have left. A carrier that comes later,
+	// such as after a pause of the process, drops it with ResultNotSent.
+	SendBy time.Time
 }
 
 // Result is how an order ended.
--- a/pkg/protocol/peer/endpoints.go
+++ b/pkg/protocol/peer/endpoints.go
@@ -168,4 +168,6 @@
 	Revision ids.Revision `json:"revision"`
 	// NotOwner lists endpoints that the asked VM does not own by its list.
 	NotOwner []ids.EndpointID `json:"notOwner,omitempty"`
+	// Crowded lists endpoints on which nothing can be evicted now.
+	Crowded []ids.EndpointID `json:"crowded,omitempty"`
 }
