Let only answers confirm a VM list

Cause: a VM that woke after a pause took its own pin request, or a request that had waited in its inbox, as a fresh confirmation and granted pins. Change: one-way messages raise the highest revision and confirm nothing. Conclusion: only answers to own questions count.

--- a/pkg/coordination/ownership/authority.go
+++ b/pkg/coordination/ownership/authority.go
@@ -59,8 +59,13 @@
 	}
 }
 
-// hear notes what a peer said.
+// hear notes what a peer said. A message that is not the answer to a question
+// may have waited for long, so its word raises the highest revision but
+// confirms nothing: it has a zero asOf.
 func (a *authority) hear(peer ids.VMID, revision ids.Revision, asOf time.Time) {
+	if peer == a.self {
+		return
+	}
 	if revision > a.highest {
 		a.highest = revision
 	}
--- a/pkg/coordination/ownership/pins.go
+++ b/pkg/coordination/ownership/pins.go
@@ -20,7 +20,7 @@
 
 // Grant answers a request for pins as the owner.
 func (t *Table) Grant(now time.Time, request peer.PinsAcquireRequest, resident Residency) peer.PinsAcquireReply {
-	t.ObservePeer(now, request.Sender, request.Revision, now)
+	t.ObservePeer(now, request.Sender, request.Revision, time.Time{})
 	reply := peer.PinsAcquireReply{Sender: t.cfg.Self, Revision: t.List().Revision}
 	for _, pin := range request.Pins {
 		reply.Grants = append(reply.Grants, t.GrantPin(now, request.Sender, request.Sequence, pin, resident))
--- a/pkg/coordination/ownership/table.go
+++ b/pkg/coordination/ownership/table.go
@@ -189,7 +189,8 @@
 
 // ObservePeer takes a peer's word about its list. asOf is a time on this VM's
 // clock at which the word was certainly still true or not yet said, such as
-// the time at which the answered heartbeat was sent.
+// the time at which the answered heartbeat was sent. It is zero for the word
+// of a message that answers none of this VM's.
 func (t *Table) ObservePeer(now time.Time, from ids.VMID, revision ids.Revision, asOf time.Time) {
 	t.view.mu.Lock()
 	defer t.view.mu.Unlock()
@@ -436,7 +437,7 @@
 	t.view.mu.Lock()
 	defer t.view.mu.Unlock()
 	t.view.touch(now)
-	t.view.hear(request.Sender, request.Revision, now)
+	t.view.hear(request.Sender, request.Revision, time.Time{})
 	reply := peer.HandoverReply{Sender: t.cfg.Self, Revision: t.view.list.Revision}
 	if earlier := t.listBefore(request.Revision); earlier != nil {
 		reply.Previous = earlier
@@ -513,7 +514,7 @@
 	t.view.mu.Lock()
 	defer t.view.mu.Unlock()
 	t.view.touch(now)
-	t.view.hear(reply.Sender, reply.Revision, now)
+	t.view.hear(reply.Sender, reply.Revision, time.Time{})
 	var changes []Change
 	for _, part := range reply.Endpoints {
 		if t.takeOver(now, part) || reply.Previous == nil {
--- a/pkg/coordination/ownership/table_test.go
+++ b/pkg/coordination/ownership/table_test.go
@@ -144,6 +144,21 @@
 	assert.ErrorIs(t, table.MayEvict(now, "e", simRef(1)), ErrSuperseded)
 }
 
+// Guards against a VM that wakes after a pause and takes its own request, or a
+// request that waited for it, as a confirmation of its list.
+func TestOneWayMessagesConfirmNothing(t *testing.T) {
+	former, next := movedTo()
+	table, now := settled(former, next)
+	now = now.Add(time.Minute)
+	for _, sender := range []ids.VMID{former, next} {
+		request := peer.PinsAcquireRequest{Sender: sender, Sequence: 1, Revision: 1, Pins: []peer.PinKey{pinOn("e")}}
+		reply := table.Grant(now, request, alwaysResident)
+		assert.Equal(t, reply.Grants[0].Refusal, peer.PinNoAuthority)
+	}
+	table.ObservePeer(now, next, 1, now)
+	assert.Equal(t, table.GrantPin(now, "z", 1, pinOn("e"), alwaysResident).Refusal, peer.PinRefusal(""))
+}
+
 // Guards against a late release that ends a pin which was acquired after it,
 // and against a late grant for a pin that was given back.
 func TestCrossedPinMessages(t *testing.T) {
