Add the placement model with a baseline of random placement and LRU

Cause: the policies had no measured effect. Change: an event-driven model that runs the decision packages for all entry VMs of both deployments. Conclusion: the model runs; speed and tuning follow.

--- /dev/null
+++ b/internal/bench/placement/command.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
+)
+
+// Command returns the placement subcommand of wagtailbench.
+func Command() *cobra.Command {
+	var options struct {
+		seed  uint64
+		quick bool
+		out   string
+	}
+	command := &cobra.Command{
+		Use:   "placement",
+		Short: "Compare placement, routing and queueing with a baseline in a model of both deployments",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			printTable(command.OutOrStdout(), rows(options.seed, options.quick))
+			return nil
+		},
+	}
+	command.Flags().Uint64Var(&options.seed, "seed", 1, "seed of all randomness")
+	command.Flags().BoolVar(&options.quick, "quick", false, "short runs of one policy a deployment")
+	command.Flags().StringVar(&options.out, "out", "", "file for the measured slopes as JSON")
+	return command
+}
+
+// rows runs all systems of the table.
+func rows(seed uint64, quick bool) []result {
+	var out []result
+	for _, build := range []func(records.Policy) deployment{isbreen, kigaliLattice} {
+		policies := []records.Policy{records.PolicyLatency, records.PolicyThroughput}
+		for i, policy := range policies {
+			d := build(policy)
+			if quick {
+				d.warmUp, d.shiftAt, d.length = 100*time.Second, 150*time.Second, 210*time.Second
+			}
+			if i == 0 {
+				out = append(out, runBaseline(d, seed))
+			}
+			out = append(out, runFleet(d, seed))
+		}
+	}
+	return out
+}
+
+func printTable(w io.Writer, all []result) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "deployment\tsystem\tstalls/1000\toccupancy\tworst p50/p95/p99 s\tmedian p50/p95/p99 s\trefused\tflood served/s\tloads\tin flight\tviolations")
+	for _, r := range all {
+		fmt.Fprintf(table, "%s\t%s\t%.0f\t%.2f\t%s\t%s\t%.2f%%\t%.1f\t%d\t%d\t%d\n", r.Deployment, r.System, r.StallsPerThousand, r.BatchOccupancy,
+			r.Worst, r.Median, 100*r.Refused, r.FloodServed, r.Loads, r.InFlight, r.Violations)
+	}
+	table.Flush()
+}
+
+// String formats the quantiles.
+func (c customerResult) String() string {
+	return fmt.Sprintf("%s %.2f/%.2f/%.2f", c.Customer, c.P50, c.P95, c.P99)
+}
--- /dev/null
+++ b/internal/bench/placement/fleet.go
@@ -0,0 +1,515 @@
+package placement
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fairqueue"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/ownership"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/placement"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/routing"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/platformapi"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
+)
+
+// The rhythm of a VM.
+const (
+	tickEvery   = 50 * time.Millisecond
+	upkeepEvery = time.Second
+	probeEvery  = 2 * time.Second
+	// reportLag is how old an engine's report is when it is read.
+	reportLag = 100 * time.Millisecond
+	// requestTerm is the longest time that a request may run.
+	requestTerm = 30 * time.Second
+	baseModel   = "base"
+	region      = "region"
+)
+
+var modelStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func dataCentreID(n int) ids.DataCentreID { return ids.DataCentreID(fmt.Sprint("dc", n)) }
+
+func endpointID(dataCentre, n int) ids.EndpointID {
+	return ids.EndpointID(fmt.Sprintf("engine-%d-%03d", dataCentre, n))
+}
+
+// fleet is the modelled set of entry VMs.
+type fleet struct {
+	world   *world
+	list    platformapi.VMList
+	vms     []*vm
+	byID    map[ids.VMID]*vm
+	engines map[ids.EndpointID]*engine
+}
+
+// vm is one modelled entry VM. Everything it decides with is the real code.
+type vm struct {
+	fleet   *fleet
+	id      ids.VMID
+	table   *ownership.Table
+	holder  *ownership.Holder
+	planner *placement.Planner
+	state   *routing.State
+	queue   *fairqueue.Queue
+	profile routing.Profile
+	random  *rand.Rand
+	budget  *placement.Budget
+
+	choice   routing.Candidate
+	asking   map[peer.PinKey]bool
+	told     map[toldKey]ids.EndpointID
+	arrivals map[ids.RequestID]arrival
+}
+
+type toldKey struct {
+	ref      ids.AdapterRef
+	customer ids.CustomerID
+}
+
+func (f *fleet) now() time.Time { return modelStart.Add(f.world.now) }
+
+func runFleet(d deployment, seed uint64) result {
+	f := newFleet(d, seed)
+	for i, a := range d.arrivals(seed) {
+		v := f.vms[i*7%len(f.vms)]
+		f.world.after(a.at, func() { v.arrive(a) })
+	}
+	f.world.run()
+	name := "wagtailspoke, " + string(d.policy)
+	return f.world.meter.result(name, f.world.store)
+}
+
+func newFleet(d deployment, seed uint64) *fleet {
+	f := &fleet{world: newWorld(d), byID: make(map[ids.VMID]*vm), engines: make(map[ids.EndpointID]*engine)}
+	f.list.Revision = 1
+	for _, e := range f.world.engines {
+		f.engines[e.id] = e
+	}
+	if d.fill {
+		f.fill(seed)
+	}
+	count := d.dataCentres * d.vms
+	shared := placement.NewBudget(f.now(), storePerSecond, storePerSecond, storePlaces, 30*time.Second)
+	for dc := range d.dataCentres {
+		for n := range d.vms {
+			id := ids.VMID(fmt.Sprintf("vm-%d-%d", dc, n))
+			f.list.VMs = append(f.list.VMs, platformapi.VM{ID: id, DataCentre: dataCentreID(dc), State: platformapi.VMLive})
+			budget := shared
+			if d.shareRights {
+				budget = placement.NewBudget(f.now(), float64(storePerSecond)/float64(count), 1, storePlaces/count, 30*time.Second)
+			}
+			f.add(id, dc, budget, seed+uint64(len(f.vms)))
+		}
+	}
+	for i, v := range f.vms {
+		offset := time.Duration(i) * time.Millisecond
+		f.world.after(offset, v.tick)
+		f.world.after(offset, v.upkeep)
+		f.world.after(offset, v.probeAll)
+	}
+	return f
+}
+
+// fill puts the most popular adapters on the engines.
+func (f *fleet) fill(seed uint64) {
+	d := f.world.deployment
+	popular := rand.New(rand.NewPCG(seed, 11)).Perm(d.adapters)
+	for i := range min(d.adapters, len(f.world.engines)*d.slots) {
+		f.world.engines[i%len(f.world.engines)].resident[refOf(popular[i], 1)] = true
+	}
+}
+
+func (f *fleet) add(id ids.VMID, dc int, budget *placement.Budget, seed uint64) {
+	d := f.world.deployment
+	v := &vm{
+		fleet: f, id: id, budget: budget,
+		table:    ownership.New(ownership.Config{Self: id, DataCentre: dataCentreID(dc), Terms: ownership.DefaultTerms()}, f.now()),
+		holder:   ownership.NewHolder(ownership.DefaultTerms()),
+		planner:  placement.NewPlanner(placement.DefaultConfig(d.policy)),
+		queue:    fairqueue.New(fairqueue.DefaultConfig(d.policy)),
+		profile:  routing.ModelProfile(d.policy),
+		random:   rand.New(rand.NewPCG(seed, 13)),
+		asking:   make(map[peer.PinKey]bool),
+		told:     make(map[toldKey]ids.EndpointID),
+		arrivals: make(map[ids.RequestID]arrival),
+	}
+	v.state = routing.NewState(routing.DefaultStateConfig(dataCentreID(dc), region), v.planner, v)
+	for _, load := range d.customers {
+		v.queue.SetWeight(load.id, load.rate)
+	}
+	for n := range d.dataCentres {
+		v.state.SetDataCentre(dataCentreID(n), region)
+	}
+	for _, e := range f.world.engines {
+		record := records.Endpoint{
+			DataCentre: dataCentreID(e.dataCentre), Kind: records.EndpointModel, Address: "127.0.0.1:1", BaseModel: baseModel,
+			Slots: d.slots, MaxBatch: d.maxBatch, Fencing: true, State: records.EndpointServing,
+		}
+		v.table.SetEndpoint(f.now(), e.id, record)
+		v.planner.SetEndpoint(e.id, record)
+		v.state.SetEndpoint(e.id, record)
+	}
+	f.vms = append(f.vms, v)
+	f.byID[id] = v
+}
+
+// send counts a message and delivers it one hop later; a message to itself
+// costs nothing.
+func (v *vm) send(to ids.VMID, method string, body any, deliver func(*vm)) {
+	f := v.fleet
+	other, ok := f.byID[to]
+	if !ok {
+		return
+	}
+	if other == v {
+		deliver(v)
+		return
+	}
+	data, err := json.Marshal(body)
+	if err == nil && f.world.now >= f.world.deployment.warmUp {
+		f.world.meter.bytes[method] += len(data)
+		f.world.meter.messages[method]++
+	}
+	f.world.after(hop, func() { deliver(other) })
+}
+
+// Covers implements routing.Pins.
+func (v *vm) Covers(now time.Time, endpoint ids.EndpointID, ref ids.AdapterRef, deadline time.Time) bool {
+	return v.holder.Covers(now, peer.PinKey{Endpoint: endpoint, Ref: ref}, deadline)
+}
+
+// vm implements placement.Gate by its table and budget.
+
+func (v *vm) MayLoad(now time.Time, id ids.EndpointID) (ids.Fence, error) {
+	return v.table.MayLoad(now, id)
+}
+
+func (v *vm) MayOrder(now time.Time, id ids.EndpointID) (ids.Fence, error) {
+	return v.table.MayOrder(now, id)
+}
+
+func (v *vm) MayEvict(now time.Time, id ids.EndpointID, ref ids.AdapterRef) error {
+	return v.table.MayEvict(now, id, ref)
+}
+
+func (v *vm) TakeLoad(now time.Time) bool { return v.budget.TakeLoad(now) }
+
+func (v *vm) EndLoad(now time.Time, used, known bool) { v.budget.EndLoad(now, used, known) }
+
+func (v *vm) arrive(a arrival) {
+	w := v.fleet.world
+	w.meter.arrived(a, w.resident(a.ref))
+	now := v.fleet.now()
+	item := fairqueue.Item{
+		ID: a.id, Customer: w.deployment.customers[a.customer].id, Ref: a.ref, Cost: a.cost(), Deadline: now.Add(deadlineAfter),
+	}
+	if v.queue.Push(now, item) != nil {
+		w.meter.refuse(a)
+		return
+	}
+	w.meter.waiting++
+	v.arrivals[a.id] = a
+	v.dispatch()
+}
+
+// tick is the work that a VM does while requests wait.
+func (v *vm) tick() {
+	f := v.fleet
+	now := f.now()
+	v.table.Tick(now)
+	for _, item := range v.queue.Expire(now) {
+		f.world.meter.waiting--
+		f.world.meter.refuse(v.arrivals[item.ID])
+		delete(v.arrivals, item.ID)
+	}
+	v.tellDemand(now)
+	for _, order := range v.planner.Plan(now, v) {
+		v.execute(order)
+	}
+	v.dispatch()
+	f.world.after(tickEvery, v.tick)
+}
+
+// dispatch sends all requests that can run.
+func (v *vm) dispatch() {
+	f := v.fleet
+	for {
+		item, ok := v.queue.Pop(f.now(), v.canRun)
+		if !ok {
+			return
+		}
+		v.start(item, v.choice)
+	}
+}
+
+// canRun chooses an endpoint with a pin, or asks for a pin.
+func (v *vm) canRun(ref ids.AdapterRef) bool {
+	now := v.fleet.now()
+	request := routing.Request{Kind: records.EndpointModel, Ref: ref, BaseModel: baseModel, Deadline: now.Add(requestTerm)}
+	candidates := v.state.Candidates(now, &request)
+	choice, err := v.profile.With(routing.Pinned{}).Pick(&request, candidates, v.random)
+	if err == nil {
+		v.choice = choice
+		return true
+	}
+	if choice, err = v.profile.Pick(&request, candidates, v.random); err == nil {
+		v.askPins([]peer.PinKey{{Endpoint: choice.Endpoint, Ref: ref}})
+	}
+	return false
+}
+
+func (v *vm) start(item fairqueue.Item, choice routing.Candidate) {
+	f := v.fleet
+	w := f.world
+	key := peer.PinKey{Endpoint: choice.Endpoint, Ref: choice.Resident}
+	if !v.holder.Begin(f.now(), key, f.now().Add(requestTerm)) {
+		v.queue.Return(item)
+		return
+	}
+	a := v.arrivals[item.ID]
+	w.meter.waiting--
+	request := routing.Request{Ref: item.Ref}
+	v.state.Begin(f.now(), choice.Endpoint, &request)
+	end := func() {
+		v.state.End(choice.Endpoint)
+		v.holder.End(key)
+		v.dispatch()
+	}
+	w.after(hop, func() {
+		ok := f.engines[choice.Endpoint].run(job{
+			arrival: a, ref: choice.Resident,
+			firstToken: func() { w.meter.firstToken(a, w.now) },
+			done: func() {
+				delete(v.arrivals, a.id)
+				w.after(hop, end)
+			},
+		})
+		if ok {
+			v.planner.Served(f.now(), choice.Endpoint, choice.Resident, 1)
+			return
+		}
+		v.planner.Missing(choice.Endpoint, choice.Boot, choice.Resident)
+		w.meter.waiting++
+		v.queue.Return(item)
+		end()
+	})
+}
+
+// askPins asks the owners of endpoints for pins, one ask at a time for each.
+func (v *vm) askPins(keys []peer.PinKey) {
+	f := v.fleet
+	for _, key := range keys {
+		owner, ok := f.ownerOf(key.Endpoint)
+		if !ok || v.asking[key] {
+			continue
+		}
+		v.asking[key] = true
+		askedAt := f.now()
+		request := peer.PinsAcquireRequest{Sender: v.id, Sequence: v.holder.NextSequence(), Revision: f.list.Revision, Pins: []peer.PinKey{key}}
+		grant := func(to *vm) {
+			reply := to.table.Grant(f.now(), request, to.planner.Resident)
+			to.send(v.id, peer.MethodPinsAcquire, reply, func(*vm) {
+				delete(v.asking, key)
+				v.holder.Granted(f.now(), askedAt, request.Sequence, reply.Grants)
+				if reply.Grants[0].Refusal == peer.PinNotResident && to != v {
+					v.planner.Missing(key.Endpoint, "boot", key.Ref)
+				}
+				// The answer may come within a Pop, so waking waits for an event.
+				f.world.after(0, func() {
+					v.queue.Wake(key.Ref)
+					v.dispatch()
+				})
+			})
+		}
+		v.send(owner, peer.MethodPinsAcquire, request, grant)
+	}
+}
+
+func (f *fleet) ownerOf(id ids.EndpointID) (ids.VMID, bool) {
+	e, ok := f.engines[id]
+	if !ok {
+		return "", false
+	}
+	return ownership.Owner(id, dataCentreID(e.dataCentre), f.list)
+}
+
+// tellDemand tells the owners of endpoints where waiting requests need loads.
+func (v *vm) tellDemand(now time.Time) {
+	type wanted struct {
+		requests int
+		parts    []fairqueue.Demand
+	}
+	byRef := make(map[ids.AdapterRef]*wanted)
+	var order []ids.AdapterRef
+	for _, demand := range v.queue.Demands(now) {
+		if byRef[demand.Ref] == nil {
+			byRef[demand.Ref] = &wanted{}
+			order = append(order, demand.Ref)
+		}
+		byRef[demand.Ref].requests += demand.Requests
+		byRef[demand.Ref].parts = append(byRef[demand.Ref].parts, demand)
+	}
+	work := make(map[ids.VMID][]peer.WaitingWork)
+	fresh := make(map[toldKey]ids.EndpointID)
+	for _, ref := range order {
+		home, ok := v.planner.Where(now, placement.Wanted{Ref: ref, BaseModel: baseModel, Requests: byRef[ref].requests})
+		if !ok {
+			continue
+		}
+		owner, _ := v.fleet.ownerOf(home)
+		for _, part := range byRef[ref].parts {
+			fresh[toldKey{ref: ref, customer: part.Customer}] = home
+			work[owner] = append(work[owner], peer.WaitingWork{
+				Endpoint: home, Ref: ref, Customer: part.Customer, Requests: part.Requests, OldestMillis: part.Oldest.Milliseconds(),
+			})
+		}
+	}
+	v.withdrawDemand(fresh, work)
+	v.told = fresh
+	for _, other := range v.fleet.vms {
+		if len(work[other.id]) > 0 {
+			v.tellWork(other.id, work[other.id])
+		}
+	}
+}
+
+// withdrawDemand tells owners about demand that has gone or moved.
+func (v *vm) withdrawDemand(fresh map[toldKey]ids.EndpointID, work map[ids.VMID][]peer.WaitingWork) {
+	for _, key := range sortedTold(v.told) {
+		before := v.told[key]
+		if fresh[key] == before {
+			continue
+		}
+		owner, _ := v.fleet.ownerOf(before)
+		work[owner] = append(work[owner], peer.WaitingWork{Endpoint: before, Ref: key.ref, Customer: key.customer})
+	}
+}
+
+func (v *vm) tellWork(owner ids.VMID, work []peer.WaitingWork) {
+	request := peer.WorkWaitRequest{Sender: v.id, Revision: v.fleet.list.Revision, Work: work}
+	v.send(owner, peer.MethodWorkWait, request, func(to *vm) {
+		reply := peer.WorkWaitReply{Sender: to.id, Revision: v.fleet.list.Revision}
+		now := v.fleet.now()
+		for _, part := range work {
+			to.planner.Demand(now, placement.Waiting{
+				Sender: v.id, Endpoint: part.Endpoint, Ref: part.Ref, Customer: part.Customer, Requests: part.Requests,
+				Oldest: time.Duration(part.OldestMillis) * time.Millisecond,
+			})
+			if part.Requests > 0 && to.planner.Crowded(now, part.Endpoint) {
+				reply.Crowded = append(reply.Crowded, part.Endpoint)
+			}
+		}
+		to.send(v.id, peer.MethodWorkWait, reply, func(*vm) {
+			for _, id := range reply.Crowded {
+				v.planner.MarkCrowded(v.fleet.now(), id)
+			}
+		})
+	})
+}
+
+// execute carries out an order, with the checks that the daemon makes.
+func (v *vm) execute(order placement.Order) {
+	f := v.fleet
+	e := f.engines[order.Endpoint]
+	done := func(result placement.Result) {
+		for _, next := range v.planner.OrderDone(f.now(), order.ID, result, v) {
+			v.execute(next)
+		}
+		f.world.after(reportLag, func() { v.probe(e) })
+	}
+	if order.Kind == placement.OrderEvict {
+		if _, err := v.table.BeginEvict(f.now(), order.Endpoint, order.Ref); err != nil {
+			done(placement.ResultNotSent)
+			return
+		}
+		f.world.after(hop, func() {
+			e.evict(order.Ref)
+			f.world.after(hop, func() {
+				v.table.EndEvict(order.Endpoint, order.Ref)
+				done(placement.ResultDone)
+			})
+		})
+		return
+	}
+	sentAt := f.now()
+	if _, err := v.table.MayLoad(sentAt, order.Endpoint); err != nil {
+		done(placement.ResultNotSent)
+		return
+	}
+	e.load(order.Ref, func(ok bool) {
+		if !ok {
+			done(placement.ResultFailed)
+			return
+		}
+		v.table.OrderAccepted(f.now(), sentAt, order.Endpoint, order.Fence, order.Ref)
+		done(placement.ResultDone)
+		v.queue.Wake(order.Ref)
+		v.dispatch()
+	})
+}
+
+// probeAll reads the reports of the engines that this VM owns.
+func (v *vm) probeAll() {
+	for _, e := range v.fleet.world.engines {
+		if v.table.Owns(e.id) {
+			v.probe(e)
+		}
+	}
+	v.fleet.world.after(probeEvery, v.probeAll)
+}
+
+// probe reads one report and tells it to all VMs of the region.
+func (v *vm) probe(e *engine) {
+	f := v.fleet
+	e.sequence++
+	report := placement.Report{Endpoint: e.id, Boot: "boot", Sequence: e.sequence, Running: e.active, Waiting: len(e.waiting)}
+	for ref := range e.resident {
+		report.Resident = append(report.Resident, ref)
+	}
+	sortRefs(report.Resident)
+	f.world.after(reportLag, func() {
+		for _, other := range f.vms {
+			f.world.after(hop, func() { other.observe(report) })
+		}
+	})
+}
+
+func (v *vm) observe(report placement.Report) {
+	if v.planner.Observe(v.fleet.now(), report) == placement.ReportIgnored {
+		return
+	}
+	v.state.Reported(report.Endpoint, report.Running, report.Waiting)
+	for _, ref := range report.Resident {
+		v.queue.Wake(ref)
+	}
+	v.dispatch()
+}
+
+// upkeep confirms the list and renews and releases pins.
+func (v *vm) upkeep() {
+	f := v.fleet
+	now := f.now()
+	v.table.ObserveList(now, f.list, now)
+	v.table.Sweep(now)
+	v.planner.Sweep(now)
+	up := v.holder.Upkeep(now)
+	v.askPins(up.Renew)
+	byOwner := make(map[ids.VMID][]peer.PinKey)
+	for _, key := range up.Release {
+		if owner, ok := f.ownerOf(key.Endpoint); ok {
+			byOwner[owner] = append(byOwner[owner], key)
+		}
+	}
+	for _, other := range f.vms {
+		if len(byOwner[other.id]) == 0 {
+			continue
+		}
+		request := peer.PinsReleaseRequest{Sender: v.id, Sequence: up.ReleaseSequence, Pins: byOwner[other.id]}
+		v.send(other.id, peer.MethodPinsRelease, request, func(to *vm) { to.table.Release(request) })
+	}
+	f.world.after(upkeepEvery, v.upkeep)
+}
--- a/pkg/coordination/routing/filters.go
+++ b/pkg/coordination/routing/filters.go
@@ -62,3 +62,13 @@
 func (HasRoom) Keep(_ *Request, candidate *Candidate) bool {
 	return candidate.Load < candidate.Record.MaxBatch
 }
+
+// Pinned leaves out endpoints on which this VM holds no pin that lasts until
+// the request's deadline. A request may be sent only to an endpoint that
+// passes it; without it a Profile tells for which endpoint to ask a pin.
+type Pinned struct{}
+
+// Keep implements Filter.
+func (Pinned) Keep(_ *Request, candidate *Candidate) bool {
+	return candidate.Pinned
+}
--- a/pkg/coordination/routing/profile.go
+++ b/pkg/coordination/routing/profile.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// With returns a copy of the profile with a further filter.
+func (p Profile) With(filter Filter) Profile {
+	p.Filters = append(p.Filters[:len(p.Filters):len(p.Filters)], filter)
+	return p
+}
+
 // Pick chooses an endpoint for a request.
 func (p Profile) Pick(request *Request, candidates []Candidate, random *rand.Rand) (Candidate, error) {
 	var scored []Scored
