--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/path"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/placement"
 )
 
 func main() {
@@ -31,5 +32,6 @@
 	return []*cobra.Command{
 		config.Command(),
 		path.Command(),
+		placement.Command(),
 	}
 }
