--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/engines"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/peers"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/platform"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/source"
 )
 
 const (
@@ -142,7 +143,7 @@
 		holder:   ownership.NewHolder(options.Terms),
 		planner:  placement.NewPlanner(placement.DefaultConfig(records.PolicyLatency)),
 		queues:   make(map[string]*modelQueue),
-		platform: platform.New("http://"+entry.Platform.Address, nil),
+		platform: platform.New("http://"+entry.Platform.Address, source.HTTPClient(entry.Source)),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.metrics = newMetrics(d, now)
@@ -175,10 +176,12 @@
 	config.DialTimeout = d.settings.Timeouts.Connect.Duration()
 	config.FirstByte = d.settings.Timeouts.FirstByte.Duration()
 	config.Silence = d.settings.Timeouts.BetweenBytes.Duration()
+	config.Source = d.settings.Source
 	d.engines = engines.New(config)
 	d.peers = peers.New(peers.Config{
 		Self:     peers.From{VM: d.settings.VMID, Boot: d.boot},
 		Registry: d.registry(),
+		Source:   d.settings.Source,
 		Fault:    d.options.Fault,
 		Logger:   d.log,
 	})
