Match engine runs by the caller's part of the request id

Cause: the daemon marks each attempt, so that runs were taken for runs without a caller. Change: checks compare the first 36 characters; engines of the bench hold 8 adapters.

--- a/internal/bench/faults/checks.go
+++ b/internal/bench/faults/checks.go
@@ -99,12 +99,21 @@
 	return byID
 }
 
+// requestIDLength is the length of the ids that callers of a run use. The
+// daemon appends a mark to it for each attempt.
+const requestIDLength = 36
+
+// callerID returns the caller's part of the id that an endpoint saw.
+func callerID(id ids.RequestID) ids.RequestID {
+	return id[:min(len(id), requestIDLength)]
+}
+
 // eachRun calls visit for each run of an engine that belongs to an event.
 func eachRun(o *Observations, visit func(endpoint ids.EndpointID, run engine.Run, event Event)) {
 	byID := eventsByID(o)
 	for endpoint, runs := range o.EngineRuns {
 		for _, run := range runs {
-			if event, known := byID[run.RequestID]; known {
+			if event, known := byID[callerID(run.RequestID)]; known {
 				visit(endpoint, run, event)
 			}
 		}
@@ -141,7 +150,7 @@
 	byID := eventsByID(o)
 	for endpoint, runs := range o.EngineRuns {
 		for _, run := range runs {
-			event, known := byID[run.RequestID]
+			event, known := byID[callerID(run.RequestID)]
 			if !known || event.Prompt != run.Prompt {
 				r.add("%s ran request %q with a prompt that no caller sent under this id", endpoint, run.RequestID)
 			}
@@ -279,7 +288,7 @@
 	})
 	for endpoint, runs := range o.ServiceRuns {
 		for _, run := range runs {
-			if event, known := byID[run.RequestID]; known && event.Result == ResultNotRun {
+			if event, known := byID[callerID(run.RequestID)]; known && event.Result == ResultNotRun {
 				r.add("call %s ran on %s and was reported as not run (%s)", event.ID, endpoint, event.Reason)
 			}
 		}
--- a/internal/bench/faults/cluster.go
+++ b/internal/bench/faults/cluster.go
@@ -21,6 +21,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/platformapi"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/weightsapi"
 	"github.com/wagtailspoke/wagtailspoke/pkg/settings"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/admin"
 )
@@ -30,7 +31,7 @@
 	dataCentres          = 3
 	vmsPerDataCentre     = 2
 	enginesPerDataCentre = 2
-	engineSlots          = 4
+	engineSlots          = 8
 	engineBatch          = 8
 	adapters             = 32
 	// storeLoadsPerSecond is above the real store's 3 a second, so that short
@@ -42,16 +43,19 @@
 	orderService        = "orders"
 	orderPath           = "/orders/"
 	// platformHost names the platform in the network.
-	platformHost   netfault.Host = "platform"
-	readyWait                    = 20 * time.Second
-	readyPoll                    = 50 * time.Millisecond
-	firstTokenTime               = 5 * time.Millisecond
-	tokenTime                    = time.Millisecond
-	storeLoadTime                = 20 * time.Millisecond
-	tightRate                    = 400
-	tightBurst                   = 2_000
-	wideRate                     = 50_000
-	wideBurst                    = 200_000
+	platformHost netfault.Host = "platform"
+	readyWait                  = 20 * time.Second
+	readyPoll                  = 50 * time.Millisecond
+	// warmUp is the time in which a fresh VM must assume that a former owner
+	// still has rights, and that a key may have been used before its start.
+	warmUp         = 20 * time.Second
+	firstTokenTime = 5 * time.Millisecond
+	tokenTime      = time.Millisecond
+	storeLoadTime  = 20 * time.Millisecond
+	tightRate      = 400
+	tightBurst     = 2_000
+	wideRate       = 50_000
+	wideBurst      = 200_000
 )
 
 // The customers of a run. The tight one offers more than its rate.
@@ -116,7 +120,11 @@
 		}
 	}
 	c.publishList()
-	return c, c.waitReady()
+	if err := c.waitReady(); err != nil {
+		return c, err
+	}
+	sleep(ctx, warmUp)
+	return c, nil
 }
 
 func (c *cluster) startStandIns() error {
@@ -243,7 +251,7 @@
 		ref := ids.AdapterRef{Adapter: adapterID(index), Version: version}
 		spec.Versions = append(spec.Versions, records.Version{
 			Version: version, State: records.VersionActive,
-			Source: fmt.Sprintf("%s/%d", ref.Adapter, ref.Version),
+			Source: fmt.Sprintf("%s%s/%d", weightsapi.PathAdapters, ref.Adapter, ref.Version),
 		})
 	}
 	return c.put(records.KindAdapter, string(adapterID(index)), 1, spec)
--- a/internal/bench/faults/command.go
+++ b/internal/bench/faults/command.go
@@ -29,6 +29,8 @@
 	Only      string
 	Parallel  int
 	Out       string
+	// LogDir receives the logs of all daemons, for reading after a violation.
+	LogDir string
 }
 
 // Outcome is the result of one run.
@@ -69,6 +71,7 @@
 	flags.BoolVar(&options.Quick, "quick", false, "run the scenarios of CI only")
 	flags.StringVar(&options.Only, "only", "", "run only scenarios whose name contains this text")
 	flags.IntVar(&options.Parallel, "parallel", 2, "runs at once")
+	flags.StringVar(&options.LogDir, "log-dir", "", "directory for the logs, metrics and statuses of the daemons")
 	flags.StringVar(&options.Out, "out", "", "file for the outcomes as JSON")
 	return command
 }
@@ -89,7 +92,7 @@
 		}
 		for i := range options.Seeds {
 			seed := options.FirstSeed + uint64(i)
-			jobs = append(jobs, func(index int) Outcome { return runScenario(ctx, binary, scenario, seed, index) })
+			jobs = append(jobs, func(index int) Outcome { return runScenario(ctx, binary, options.LogDir, scenario, seed, index) })
 		}
 	}
 	return runJobs(jobs, max(1, options.Parallel)), nil
@@ -114,7 +117,7 @@
 // clusterIndexBase keeps the loopback addresses of runs away from 127.0.0.0/24.
 const clusterIndexBase = 1
 
-func runScenario(ctx context.Context, binary string, scenario Scenario, seed uint64, index int) Outcome {
+func runScenario(ctx context.Context, binary, logDir string, scenario Scenario, seed uint64, index int) Outcome {
 	outcome := Outcome{Scenario: scenario.Name, Seed: seed, Violations: []Violation{}}
 	directory, err := os.MkdirTemp("", "wagtailspoke-faults-")
 	if err != nil {
@@ -133,9 +136,35 @@
 	observed := observe(ctx, c, scenario, seed)
 	outcome.Violations = append(outcome.Violations, Check(&observed)...)
 	outcome.count(observed.Events)
+	if err := keepPages(logDir, outcome, &observed); err != nil {
+		outcome.Error = err.Error()
+	}
 	return outcome
 }
 
+const logDirMode = 0o755
+
+// keepPages writes what the VMs of a run logged and showed, and its history.
+func keepPages(directory string, outcome Outcome, observed *Observations) error {
+	if directory == "" {
+		return nil
+	}
+	directory = filepath.Join(directory, fmt.Sprintf("%s-%d", strings.ReplaceAll(outcome.Scenario, " ", "-"), outcome.Seed))
+	if err := os.MkdirAll(directory, logDirMode); err != nil {
+		return err
+	}
+	for vm, text := range observed.Pages {
+		if err := os.WriteFile(filepath.Join(directory, string(vm)+".log"), []byte(text), outMode); err != nil {
+			return err
+		}
+	}
+	history, err := json.Marshal(observed)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(directory, "history.json"), history, outMode)
+}
+
 // observe runs a scenario under load and returns what it left behind.
 func observe(ctx context.Context, c *cluster, scenario Scenario, seed uint64) Observations {
 	loadCtx, stopLoad := context.WithCancel(ctx)
