--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/faults"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/path"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/placement"
 )
@@ -31,6 +32,7 @@
 func experiments() []*cobra.Command {
 	return []*cobra.Command{
 		config.Command(),
+		faults.Command(),
 		path.Command(),
 		placement.Command(),
 	}
