Acknowledge only applied records and name attempts after their request

Cause: heartbeats could acknowledge a revision before the limits had applied it, a grant that crossed a cancellation was lost, waiting demand and refused pins were told every 50 ms, and endpoints could not match attempts with callers' requests. Change: steps that change the catalog are serialised and acknowledge what all parts applied; crossing grants are refunded; demand is told when it changes; attempt names start with the request id; gauges, failed attempts by cause and redaction of known keys.

--- a/pkg/daemon/acks.go
+++ b/pkg/daemon/acks.go
@@ -97,7 +97,7 @@
 // leastHere returns the least revision among the VMs of the own data centre,
 // leaving ones included.
 func (b *appliedBook) leastHere(list *membership.List) ids.Revision {
-	least := b.daemon.catalog.Through()
+	least := ids.Revision(b.daemon.through.Load())
 	for _, vm := range list.VMs {
 		if vm.DataCentre == b.daemon.settings.DataCentre && vm.ID != b.daemon.settings.VMID {
 			least = min(least, b.vms[vm.ID])
@@ -107,7 +107,7 @@
 }
 
 func (b *appliedBook) leastOfAll(list *membership.List) ids.Revision {
-	least := b.daemon.catalog.Through()
+	least := ids.Revision(b.daemon.through.Load())
 	for _, vm := range list.VMs {
 		least = min(least, b.dataCentres[vm.DataCentre])
 	}
@@ -122,8 +122,14 @@
 	return parts, true
 }
 
-// addParts puts the daemon's parts into a heartbeat.
+// addParts puts the daemon's parts into a heartbeat. Peers take the records
+// revision for an acknowledgement, so it must not run ahead of the parts; the
+// age that belongs to a higher revision is then left out.
 func (d *Daemon) addParts(now time.Time, to ids.VMID, beat *peer.Heartbeat) {
+	if through := ids.Revision(d.through.Load()); through < beat.Digest.Records {
+		beat.Digest.Records = through
+		beat.Digest.RecordsAgeMillis = never
+	}
 	beat.Endpoints = d.reports.due(now, to)
 	beat.Limits = d.applied.part(to)
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -99,7 +99,10 @@
 	queueMu sync.Mutex
 	queues  map[string]*modelQueue
 
+	// applyMu is held while records or lists are applied to all parts.
 	applyMu sync.Mutex
+	// through is the revision up to which all parts have applied all records.
+	through atomic.Uint64
 	listed  appliedList
 	beats   beatLog
 
@@ -145,6 +148,7 @@
 		queues:   make(map[string]*modelQueue),
 		platform: platform.New("http://"+entry.Platform.Address, source.HTTPClient(entry.Source)),
 	}
+	redactor.SetKnown(d.isKeyHash)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.metrics = newMetrics(d, now)
 	d.assemble(now)
@@ -176,6 +180,7 @@
 	config.DialTimeout = d.settings.Timeouts.Connect.Duration()
 	config.FirstByte = d.settings.Timeouts.FirstByte.Duration()
 	config.Silence = d.settings.Timeouts.BetweenBytes.Duration()
+	config.MaxIdle = int(d.settings.Limits.MaxEndpointConnections)
 	config.Source = d.settings.Source
 	d.engines = engines.New(config)
 	d.peers = peers.New(peers.Config{
@@ -217,7 +222,7 @@
 			d.at("serve peers", "").WithError(err).Error("peer listener failed")
 		}
 	})
-	d.serve("serve callers", callers.NewServer(d), d.listeners.callers)
+	d.serve("serve callers", callers.NewServer(d, d.settings.Limits.MaxBodyBytes), d.listeners.callers)
 	d.serve("serve admin", admin.NewServer(d, d.metrics.handler()), d.listeners.admin)
 	d.spawn(d.syncLoop)
 	d.spawn(d.owner.run)
@@ -306,10 +311,16 @@
 	return entry.WithField(observability.FieldVM, string(d.settings.VMID))
 }
 
-// nextAttempt names one sending of a request. No other VM or boot makes the
-// same name.
-func (d *Daemon) nextAttempt() ids.RequestID {
-	return ids.RequestID(string(d.boot) + "-" + strconv.FormatUint(d.attempts.Add(1), 36))
+// bootMark is how much of the boot id stands in the names of attempts, which
+// are repeated with every token of a stream.
+const bootMark = 8
+
+// nextAttempt names one sending of a request: the caller's name, so that
+// endpoints' logs can be matched with it, and a mark that no other attempt
+// has, because callers may use a name twice.
+func (d *Daemon) nextAttempt(request ids.RequestID) ids.RequestID {
+	mark := string(d.settings.VMID) + "-" + string(d.boot[:bootMark]) + "-" + strconv.FormatUint(d.attempts.Add(1), 36)
+	return request + "-" + ids.RequestID(mark)
 }
 
 // queueOf returns the queue of a base model and starts it on first use.
@@ -362,7 +373,13 @@
 // noteFailure learns from a failed attempt.
 func (d *Daemon) noteFailure(failure *engines.Failure, assigned assignment, ref ids.AdapterRef) {
 	d.metrics.attemptFailed(failure)
-	d.at(failure.Step, string(failure.Endpoint)).WithError(failure).Warn("attempt failed")
+	entry := d.at(failure.Step, string(failure.Endpoint)).WithError(failure)
+	switch {
+	case failure.Cause == engines.CauseEnded:
+		entry.Debug("attempt ended with its caller or deadline")
+	default:
+		entry.Warn("attempt failed")
+	}
 	switch {
 	case failure.Cause == engines.CauseConnect:
 		d.passOver(failure.Endpoint)
@@ -402,6 +419,7 @@
 		case now := <-tick.C:
 			d.table.Tick(now)
 			d.relay.SetLoad(uint32(d.gate.open()))
+			d.metrics.update(now)
 			d.owner.upkeep(now)
 		case now := <-sweep.C:
 			d.table.Sweep(now)
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -205,10 +205,23 @@
 // Guards against requests that are lost to connections which went silent
 // while new ones work.
 func testSilentConnection(t *testing.T, f *fleet) {
-	f.setEngineFaults(engine.Faults{SilenceOpenConnections: true})
-	answer, err := f.generate("a1", testKey, poem("after silence"))
-	assert.NilError(t, err)
-	assert.Equal(t, answer.GetText(), engine.Text("poet@2", "after silence", 8))
+	silences := func() int64 { return f.vms["a1"].Status().Requests.FailedAttempts["silent"] }
+	before := silences()
+	// Routing may choose an engine without a kept connection, so several
+	// requests are sent until one met a silent connection.
+	for range 20 {
+		_, err := f.generate("a1", testKey, poem("before silence"))
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond) // The connection is kept by a goroutine.
+		f.setEngineFaults(engine.Faults{SilenceOpenConnections: true})
+		answer, err := f.generate("a1", testKey, poem("after silence"))
+		assert.NilError(t, err)
+		assert.Equal(t, answer.GetText(), engine.Text("poet@2", "after silence", 8))
+		if silences() > before {
+			return
+		}
+	}
+	t.Fatal("no request met a silent connection")
 }
 
 // Guards against pass-through that changes calls or serves other paths.
@@ -334,6 +347,7 @@
 // Guards against a withdrawn key that still works: for a request that waits
 // in the queue, for a running stream, and for new requests.
 func TestWithdrawnKeyStops(t *testing.T) {
+	t.Parallel()
 	for _, on := range []bool{true, false} {
 		t.Run(map[bool]string{true: "rule on", false: "rule off"}[on], func(t *testing.T) {
 			t.Parallel()
@@ -370,6 +384,7 @@
 
 // Guards against a graceful shutdown that cuts requests or takes new ones.
 func TestDrainCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	for _, on := range []bool{true, false} {
 		t.Run(map[bool]string{true: "rule on", false: "rule off"}[on], func(t *testing.T) {
 			t.Parallel()
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"maps"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -19,6 +21,10 @@
 	root   *observability.Metrics
 	levels *observability.ServiceLevels
 	daemon *Daemon
+
+	mu sync.Mutex
+	// failed counts failed attempts by cause, for the status.
+	failed map[string]int64
 }
 
 func newMetrics(d *Daemon, now time.Time) *metrics {
@@ -29,16 +35,49 @@
 		root:   root,
 		levels: observability.NewServiceLevels(root.Scope, d.settings.Objectives, now),
 		daemon: d,
+		failed: make(map[string]int64),
 	}
 }
 
 func (m *metrics) close() { _ = m.root.Close() }
 
-// handler serves GET /metrics with gauges that are read when it is asked.
-func (m *metrics) handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		m.root.Handler.ServeHTTP(w, r)
-	})
+// handler serves GET /metrics.
+func (m *metrics) handler() http.Handler { return m.root.Handler }
+
+// update sets the gauges. It is called each second.
+func (m *metrics) update(now time.Time) {
+	d := m.daemon
+	scope := m.root.Scope
+	queued := 0
+	for _, queue := range d.allQueues() {
+		queued += queue.queue.Len()
+	}
+	reachable := 0
+	for _, vm := range d.members.List().VMs {
+		if vm.ID != d.settings.VMID && d.members.Reachable(now, vm.ID) {
+			reachable++
+		}
+	}
+	scope.Gauge("view_age_seconds").Update(d.ViewAge().Seconds())
+	scope.Gauge("catalog_revision").Update(float64(d.catalog.Through()))
+	scope.Gauge("list_revision").Update(float64(d.members.List().Revision))
+	scope.Gauge("requests_open").Update(float64(d.gate.open()))
+	scope.Gauge("requests_queued").Update(float64(queued))
+	scope.Gauge("peers_reachable").Update(float64(reachable))
+	scope.Gauge("pins_granted").Update(float64(d.table.PinCount(now)))
+	for method, count := range d.peers.Traffic().Methods {
+		tagged := m.tagged(map[string]string{"method": method})
+		tagged.Gauge("peer_body_bytes_out").Update(float64(count.BytesOut))
+		tagged.Gauge("peer_body_bytes_in").Update(float64(count.BytesIn))
+		tagged.Gauge("peer_requests").Update(float64(count.Requests))
+	}
+}
+
+// failedAttempts returns the failed attempts by cause.
+func (m *metrics) failedAttempts() map[string]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.failed)
 }
 
 func (m *metrics) tagged(tags map[string]string) tally.Scope { return m.root.Scope.Tagged(tags) }
@@ -46,6 +85,9 @@
 // attemptFailed counts a failed attempt by cause, crossed answers among them.
 func (m *metrics) attemptFailed(failure *engines.Failure) {
 	m.tagged(map[string]string{"cause": string(failure.Cause)}).Counter("attempts_failed").Inc(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failed[string(failure.Cause)]++
 }
 
 // ordered counts an order to an engine.
--- a/pkg/daemon/queue.go
+++ b/pkg/daemon/queue.go
@@ -24,6 +24,11 @@
 	// demandEvery is how often waiting demand is told to owners. It is the
 	// pace at which the planner is asked anew.
 	demandEvery = 50 * time.Millisecond
+	// tellAgain is how often unchanged demand is told to another VM. It is
+	// below the term for which the planner counts it.
+	tellAgain = 2 * time.Second
+	// pinRetry is the pause before a refused pin is asked for again.
+	pinRetry = 200 * time.Millisecond
 	// replicaAfter is how long requests wait on full engines before another
 	// replica of their adapter is asked for.
 	replicaAfter = 500 * time.Millisecond
@@ -62,6 +67,20 @@
 	waiters map[ids.RequestID]*waiter
 	// asking holds the pins that are being asked for.
 	asking map[peer.PinKey]bool
+	// told is the demand that other VMs were last told of. Only run uses it.
+	told map[toldKey]toldWork
+}
+
+// toldKey names demand, and toldWork is what was said of it.
+type toldKey struct {
+	endpoint ids.EndpointID
+	ref      ids.AdapterRef
+	customer ids.CustomerID
+}
+
+type toldWork struct {
+	requests int
+	at       time.Time
 }
 
 func newModelQueue(d *Daemon, baseModel string, policy records.Policy) *modelQueue {
@@ -77,6 +96,7 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		waiters:   make(map[ids.RequestID]*waiter),
 		asking:    make(map[peer.PinKey]bool),
+		told:      make(map[toldKey]toldWork),
 	}
 }
 
@@ -278,7 +298,7 @@
 			continue
 		}
 		owner, ok := q.daemon.ownerOf(endpoint)
-		if !ok {
+		if !ok || owner != q.daemon.settings.VMID && !q.worthTelling(now, endpoint, demand) {
 			continue
 		}
 		told[owner] = append(told[owner], peer.WaitingWork{
@@ -299,6 +319,22 @@
 	return slices.ContainsFunc(q.daemon.planner.Holders(ref.Adapter), func(h placement.Holding) bool { return h.Ref == ref })
 }
 
+// worthTelling tells whether demand is new to another VM: it was not told, it
+// doubled, or it was told long ago. Messages to other VMs are kept few.
+func (q *modelQueue) worthTelling(now time.Time, endpoint ids.EndpointID, demand fairqueue.Demand) bool {
+	for key, told := range q.told {
+		if now.Sub(told.at) >= tellAgain {
+			delete(q.told, key)
+		}
+	}
+	key := toldKey{endpoint: endpoint, ref: demand.Ref, customer: demand.Customer}
+	if told, known := q.told[key]; known && demand.Requests < 2*told.requests {
+		return false
+	}
+	q.told[key] = toldWork{requests: demand.Requests, at: now}
+	return true
+}
+
 // askPin asks the owner of an endpoint for a pin, once at a time.
 func (q *modelQueue) askPin(pin peer.PinKey) {
 	q.mu.Lock()
@@ -309,6 +345,9 @@
 	q.asking[pin] = true
 	q.daemon.spawn(func() {
 		q.daemon.owner.acquirePins([]peer.PinKey{pin})
+		if now := time.Now(); !q.daemon.holder.Covers(now, pin, now) {
+			sleep(q.daemon.ctx, pinRetry)
+		}
 		q.mu.Lock()
 		delete(q.asking, pin)
 		q.mu.Unlock()
--- a/pkg/daemon/records.go
+++ b/pkg/daemon/records.go
@@ -8,6 +8,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/idempotency"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/limits"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/ownership"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/relay"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/platformapi"
@@ -19,17 +20,24 @@
 type appliedList struct {
 	revision    ids.Revision
 	confirmedAt time.Time
-	// through is the catalog revision that limits were last told of.
-	through ids.Revision
 }
 
-// recordsApplied tells the parts which records changed.
+// applyRecords runs a step of the relay that changes the catalog and tells the
+// parts what changed. Steps are serialised, so that a revision counts as
+// applied only when all parts have all records up to it.
+func (d *Daemon) applyRecords(step func() (catalog.Applied, []relay.Action)) {
+	d.applyMu.Lock()
+	applied, actions := step()
+	d.recordsApplied(applied)
+	d.applyMu.Unlock()
+	d.perform(actions)
+}
+
+// recordsApplied is called with applyMu held.
 func (d *Daemon) recordsApplied(applied catalog.Applied) {
 	for _, refused := range applied.Refused {
 		d.at("apply record", refused.Key).WithField("revision", refused.Revision).Warn("record refused: " + refused.Reason)
 	}
-	d.applyMu.Lock()
-	defer d.applyMu.Unlock()
 	now := time.Now()
 	kinds := make(map[records.Kind]bool)
 	for _, key := range applied.Changed {
@@ -45,10 +53,9 @@
 	if kinds[records.KindDataCentre] || kinds[records.KindCustomer] || kinds[records.KindWeightStore] {
 		d.applyLimits(now, applied.Changed)
 	}
-	if through := d.catalog.Through(); through != d.listed.through {
-		d.listed.through = through
-		d.tokens.table.ObserveApplied(d.settings.VMID, through)
-	}
+	through := d.catalog.Through()
+	d.tokens.table.ObserveApplied(d.settings.VMID, through)
+	d.through.Store(uint64(through))
 	if kinds[records.KindEndpoint] {
 		d.retainEndpoints()
 	}
--- a/pkg/daemon/service.go
+++ b/pkg/daemon/service.go
@@ -207,7 +207,7 @@
 		d.committed.Add(-1)
 	}()
 	answer, failure := d.engines.Forward(ctx, endpoint, engines.ServiceCall{
-		Attempt:    d.nextAttempt(),
+		Attempt:    d.nextAttempt(s.asked.Request),
 		Method:     s.asked.Method,
 		Target:     s.asked.Target,
 		Header:     s.asked.Header,
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"encoding/hex"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
@@ -23,6 +24,16 @@
 	return "", inferencev1.Reason_REASON_KEY_UNKNOWN
 }
 
+// isKeyHash tells the log's redactor whether a hash is that of a caller's key.
+func (d *Daemon) isKeyHash(sha256Hex string) bool {
+	raw, err := hex.DecodeString(sha256Hex)
+	if err != nil || len(raw) != len(catalog.KeyHash{}) {
+		return false
+	}
+	_, state := d.catalog.View().CustomerByKey(catalog.KeyHash(raw))
+	return state != catalog.KeyUnknown
+}
+
 // Route implements callers.Backend.
 func (d *Daemon) Route(path string) (ids.RouteID, *records.Route, bool) {
 	route, ok := d.catalog.View().Route(path)
@@ -61,7 +72,7 @@
 		Customers:  d.customerStatus(now),
 		Endpoints:  d.endpointStatus(now),
 		Peers:      d.peerStatus(now),
-		Requests:   admin.RequestStatus{Committed: int(d.committed.Load())},
+		Requests:   admin.RequestStatus{Committed: int(d.committed.Load()), FailedAttempts: d.metrics.failedAttempts()},
 	}
 	for _, queue := range d.allQueues() {
 		lengths := make(map[string]int)
--- a/pkg/daemon/sync.go
+++ b/pkg/daemon/sync.go
@@ -9,6 +9,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/relay"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
+	"github.com/wagtailspoke/wagtailspoke/pkg/state/catalog"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/peers"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/platform"
 )
@@ -81,9 +82,9 @@
 		d.perform(d.relay.OnDeltaFailure(time.Now(), a.To.ID))
 		return
 	}
-	applied, actions := d.relay.OnDelta(time.Now(), a.To.ID, reply)
-	d.recordsApplied(applied)
-	d.perform(actions)
+	d.applyRecords(func() (catalog.Applied, []relay.Action) {
+		return d.relay.OnDelta(time.Now(), a.To.ID, reply)
+	})
 }
 
 func (d *Daemon) pullVMList(a relay.PullVMList) {
@@ -104,9 +105,9 @@
 		d.platformFailed(relay.ReadRecords, err)
 		return
 	}
-	applied, actions := d.relay.OnChanges(time.Now(), askedAt, a.After, changes)
-	d.recordsApplied(applied)
-	d.perform(actions)
+	d.applyRecords(func() (catalog.Applied, []relay.Action) {
+		return d.relay.OnChanges(time.Now(), askedAt, a.After, changes)
+	})
 }
 
 func (d *Daemon) listRecords() {
@@ -116,9 +117,9 @@
 		d.platformFailed(relay.ReadListing, err)
 		return
 	}
-	applied, actions := d.relay.OnListing(time.Now(), askedAt, listing)
-	d.recordsApplied(applied)
-	d.perform(actions)
+	d.applyRecords(func() (catalog.Applied, []relay.Action) {
+		return d.relay.OnListing(time.Now(), askedAt, listing)
+	})
 }
 
 func (d *Daemon) watchVMs(a relay.WatchVMs) {
--- a/pkg/daemon/tokens.go
+++ b/pkg/daemon/tokens.go
@@ -81,19 +81,25 @@
 	return wait
 }
 
+// crossingTerm is how long after a cancellation a grant that crossed it may
+// still be on its way from another goroutine.
+const crossingTerm = time.Second
+
 // cancel ends a wait. A grant that crossed the cancellation is refunded.
 func (t *tokens) cancel(customer ids.CustomerID, ticket limits.Ticket, wait chan verdict) {
 	t.carryOut(customer, t.table.Cancel(time.Now(), customer, ticket))
-	t.mu.Lock()
-	delete(t.waits, ticket)
-	t.mu.Unlock()
-	select {
-	case end := <-wait:
-		if end.charge != nil {
-			t.refund(end.charge, end.charge.Cost)
+	time.AfterFunc(crossingTerm, func() {
+		t.mu.Lock()
+		delete(t.waits, ticket)
+		t.mu.Unlock()
+		select {
+		case end := <-wait:
+			if end.charge != nil {
+				t.refund(end.charge, end.charge.Cost)
+			}
+		default:
 		}
-	default:
-	}
+	})
 }
 
 // refund gives back the unused part of a charge.
--- a/pkg/transport/admin/status.go
+++ b/pkg/transport/admin/status.go
@@ -134,4 +134,6 @@
 type RequestStatus struct {
 	Queued    int `json:"queued"`
 	Committed int `json:"committed"`
+	// FailedAttempts counts attempts that failed since the start, by cause.
+	FailedAttempts map[string]int64 `json:"failedAttempts,omitempty"`
 }
--- a/pkg/transport/callers/inference.go
+++ b/pkg/transport/callers/inference.go
@@ -99,7 +99,9 @@
 		refusal = checkMessage(message, key)
 	}
 	if refusal != nil {
-		refusal.Request = request
+		if key == "" || !strings.Contains(string(request), key) {
+			refusal.Request = request
+		}
 		return Generation{}, refusal
 	}
 	return Generation{
@@ -120,8 +122,8 @@
 	if message.GetMaxTokens() == 0 {
 		return NotRun(inferencev1.Reason_REASON_MALFORMED, "max_tokens is missing; it bounds the charge")
 	}
-	if key != "" && strings.Contains(message.GetPrompt(), key) {
-		return NotRun(inferencev1.Reason_REASON_MALFORMED, "the prompt contains the caller's key, which endpoints must not see")
+	if key != "" && (strings.Contains(message.GetPrompt(), key) || strings.Contains(message.GetRequestId(), key)) {
+		return NotRun(inferencev1.Reason_REASON_MALFORMED, "the prompt or request id contains the caller's key, which endpoints must not see")
 	}
 	return nil
 }
--- a/pkg/transport/callers/passthrough.go
+++ b/pkg/transport/callers/passthrough.go
@@ -30,6 +30,7 @@
 // passThrough serves routes of kind service.
 type passThrough struct {
 	backend Backend
+	maxBody int64
 }
 
 func (p *passThrough) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -75,7 +76,7 @@
 		return call, refusal
 	}
 	call.Identity = identity
-	if call.Body, refusal = readBody(w, r); refusal != nil {
+	if call.Body, refusal = readBody(w, r, p.maxBody); refusal != nil {
 		return call, refusal
 	}
 	call.Header = forwardedHeader(r.Header, key)
@@ -118,8 +119,9 @@
 	if key == "" {
 		return nil
 	}
-	if strings.Contains(call.Target, key) || bytes.Contains(call.Body, []byte(key)) {
-		return NotRun(inferencev1.Reason_REASON_MALFORMED, "the path or body contains the caller's key, which endpoints must not see")
+	inName := strings.Contains(string(call.Request), key) || strings.Contains(call.Target, key)
+	if inName || bytes.Contains(call.Body, []byte(key)) {
+		return NotRun(inferencev1.Reason_REASON_MALFORMED, "the request id, path or body contains the caller's key, which endpoints must not see")
 	}
 	return nil
 }
--- a/pkg/transport/callers/server.go
+++ b/pkg/transport/callers/server.go
@@ -25,8 +25,6 @@
 
 // Bounds of a caller's request.
 const (
-	// MaxBodyBytes bounds request bodies.
-	MaxBodyBytes = 1 << 20
 	// bodyTimeout bounds the time in which a caller sends its body, so that
 	// slow senders do not hold memory for long.
 	bodyTimeout       = 10 * time.Second
@@ -54,28 +52,30 @@
 // connect-go accepts.
 var encodingHeaders = []string{"Content-Encoding", "Connect-Content-Encoding", "Grpc-Encoding"}
 
-// NewServer returns the HTTP server of the caller port.
-func NewServer(backend Backend) *http.Server {
+// NewServer returns the HTTP server of the caller port. maxBody bounds request
+// bodies.
+func NewServer(backend Backend, maxBody int64) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           NewHandler(backend),
+		Handler:           NewHandler(backend, maxBody),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		Protocols:         protocols,
 	}
 }
 
-// NewHandler returns the handler of the caller port.
-func NewHandler(backend Backend) http.Handler {
+// NewHandler returns the handler of the caller port. maxBody bounds request
+// bodies.
+func NewHandler(backend Backend, maxBody int64) http.Handler {
 	path, service := inferencev1connect.NewInferenceServiceHandler(
 		&inference{backend: backend},
 		connect.WithCodec(newCodec("proto")),
 		connect.WithCodec(newCodec("json")),
 	)
-	model := &bounded{next: service, errors: connect.NewErrorWriter()}
-	plain := &passThrough{backend: backend}
+	model := &bounded{next: service, errors: connect.NewErrorWriter(), maxBody: maxBody}
+	plain := &passThrough{backend: backend, maxBody: maxBody}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(HeaderViewAge, strconv.FormatFloat(backend.ViewAge().Seconds(), 'f', 3, 64))
 		// http.ServeMux would answer some paths with redirects of its own.
@@ -92,10 +92,12 @@
 type bounded struct {
 	next   http.Handler
 	errors *connect.ErrorWriter
+
+	maxBody int64
 }
 
 func (b *bounded) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, refusal := readBody(w, r)
+	body, refusal := readBody(w, r, b.maxBody)
 	if refusal == nil {
 		refusal = checkHeader(r.Header)
 	}
@@ -121,15 +123,15 @@
 	return nil
 }
 
-// readBody reads at most MaxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Refusal) {
+// readBody reads a body of at most the given size.
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, *Refusal) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, NotRun(inferencev1.Reason_REASON_BODY_TOO_LARGE, "body is larger than %d bytes", MaxBodyBytes)
+		return nil, NotRun(inferencev1.Reason_REASON_BODY_TOO_LARGE, "body is larger than %d bytes", most)
 	}
 	if err != nil {
 		return nil, NotRun(inferencev1.Reason_REASON_MALFORMED, "body could not be read")
--- a/pkg/transport/engines/client.go
+++ b/pkg/transport/engines/client.go
@@ -27,9 +27,6 @@
 
 // Connection settings.
 const (
-	// maxIdlePerEndpoint keeps one connection for each request of a full
-	// batch; net/http's default of 2 would close the others after each answer.
-	maxIdlePerEndpoint = 256
 	// idleTimeout is below the 60 s and more after which servers commonly
 	// close idle connections, so that a request rarely meets a closing one.
 	idleTimeout = 30 * time.Second
@@ -56,8 +53,10 @@
 	// Order is the longest wait for the answer to an order. A load answers
 	// only when the adapter is resident.
 	Order time.Duration
-	// MaxAnswerBytes bounds one unary answer of an endpoint.
-	MaxAnswerBytes int64
+	// MaxIdle is how many idle connections to an endpoint are kept: one for
+	// each request of a full batch. net/http's default of 2 would close the
+	// others after each answer.
+	MaxIdle int
 	// Source is the IP number of outgoing connections; empty for any.
 	Source string
 }
@@ -66,11 +65,11 @@
 // milliseconds away. FirstByte is above the longest queueing that an engine
 // shows before the first token.
 var DefaultConfig = Config{
-	DialTimeout:    time.Second,
-	FirstByte:      5 * time.Second,
-	Silence:        5 * time.Second,
-	Order:          10 * time.Second,
-	MaxAnswerBytes: 16 << 20,
+	DialTimeout: time.Second,
+	FirstByte:   5 * time.Second,
+	Silence:     5 * time.Second,
+	Order:       10 * time.Second,
+	MaxIdle:     256,
 }
 
 // Endpoint is the address of an endpoint.
@@ -169,7 +168,7 @@
 			}
 			return &gatedConn{Conn: conn}, nil
 		},
-		MaxIdleConnsPerHost: maxIdlePerEndpoint,
+		MaxIdleConnsPerHost: c.config.MaxIdle,
 		IdleConnTimeout:     idleTimeout,
 		// Answers go to the caller as they are.
 		DisableCompression: true,
