Show the new owner's fencing token to engines at once

Cause: after an owner was killed, adapters resident on its engines could not be pinned for 17 s, although engines with fencing refuse the former owner as soon as they saw the new token.

--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -267,6 +267,19 @@
 	return response, string(answer)
 }
 
+// request sends a request without a body and returns the status and the body.
+func (f *fleet) request(method, url string) (int, string) {
+	f.t.Helper()
+	request, err := http.NewRequestWithContext(f.ctx, method, url, nil)
+	assert.NilError(f.t, err)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	assert.NilError(f.t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(f.t, err)
+	return response.StatusCode, string(body)
+}
+
 // runs counts the runs of the plain service over all instances.
 func (f *fleet) runs() int {
 	total := 0
--- a/pkg/daemon/owner.go
+++ b/pkg/daemon/owner.go
@@ -8,6 +8,7 @@
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/ownership"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/placement"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/engineapi"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/catalog"
@@ -147,13 +148,36 @@
 		}
 		return err
 	})
-	if failure == nil {
+	if failure == nil || failure.Type == engineapi.ErrorAlreadyLoaded {
 		d.table.OrderAccepted(time.Now(), sentAt, order.Endpoint, order.Fence, order.Ref)
 		return placement.ResultDone
 	}
 	return o.resultOf(failure)
 }
 
+// announce shows an engine with fencing the token of its new owner, by an
+// order to load what is resident already. From then on the engine refuses the
+// former owner, whose rights to order and grant need not be waited for. An
+// engine with fencing checks the token before anything else in an order.
+func (o *owner) announce(endpoint catalog.Endpoint) {
+	d := o.daemon
+	report, known := d.reports.get(endpoint.ID)
+	_, waits := d.table.MayOrder(time.Now(), endpoint.ID)
+	if !known || !endpoint.Fencing || len(report.Resident) == 0 || !errors.Is(waits, ownership.ErrHandover) {
+		return
+	}
+	ref, err := ids.ParseAdapterRef(report.Resident[0])
+	if err != nil {
+		return
+	}
+	fence, err := d.table.MayLoad(time.Now(), endpoint.ID)
+	if err != nil {
+		return
+	}
+	result := o.load(placement.Order{Kind: placement.OrderLoad, Endpoint: endpoint.ID, Ref: ref, Fence: fence, Boot: report.Boot})
+	d.at("announce owner", string(endpoint.ID)).WithField("fence", fence).WithField("done", result == placement.ResultDone).Info("fencing token shown to the engine")
+}
+
 func (o *owner) evict(order placement.Order) placement.Result {
 	d := o.daemon
 	endpoint, published := d.catalog.View().Endpoint(order.Endpoint)
@@ -216,6 +240,7 @@
 	if failure == nil {
 		o.setFailures(endpoint.ID, 0)
 		o.daemon.reports.probed(time.Now(), endpoint.ID, report)
+		o.announce(endpoint)
 		return
 	}
 	failures := o.setFailures(endpoint.ID, 1)
--- a/pkg/transport/engines/complete.go
+++ b/pkg/transport/engines/complete.go
@@ -181,8 +181,10 @@
 // refused reads an answer that is not 2xx and ends the call.
 func (c *call) refused(response *http.Response) *Failure {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
-	failure := c.fail(CauseStatus, errors.New(errorMessage(text)))
+	message, kind := errorMessage(text)
+	failure := c.fail(CauseStatus, errors.New(message))
 	failure.Status = response.StatusCode
+	failure.Type = kind
 	failure.NotRun = provesNotRun(response)
 	c.finish(response.Body)
 	return failure
@@ -192,10 +194,10 @@
 	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(engineapi.HeaderNotRun) == "true"
 }
 
-func errorMessage(body []byte) string {
+func errorMessage(body []byte) (string, engineapi.ErrorType) {
 	var decoded engineapi.ErrorBody
 	if json.Unmarshal(body, &decoded) == nil && decoded.Error.Message != "" {
-		return fmt.Sprintf("%s: %s", decoded.Error.Type, decoded.Error.Message)
+		return fmt.Sprintf("%s: %s", decoded.Error.Type, decoded.Error.Message), decoded.Error.Type
 	}
-	return fmt.Sprintf("answer of %d bytes without an error message", len(body))
+	return fmt.Sprintf("answer of %d bytes without an error message", len(body)), ""
 }
--- a/pkg/transport/engines/failure.go
+++ b/pkg/transport/engines/failure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/engineapi"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 )
 
@@ -37,6 +38,8 @@
 	Sent bool
 	// Status is the HTTP status, with CauseStatus.
 	Status int
+	// Type is the error type that the answer names, if any.
+	Type engineapi.ErrorType
 	// NotRun is set when the answer's header proves that the request did not
 	// run.
 	NotRun bool
