Repeat keyed calls whose key is still in use in the demonstration

Cause: a repeat sent right after the first answer may find its key in use, because the homes learn the end of a call after the caller; the demonstration took this refusal, which the operations page explains, for a fault. Change: its caller repeats such calls; the rate step counts requests without an answer in time; tests cover the verdict and a daemon that ends.

--- /dev/null
+++ b/pkg/ctl/demo/demo_test.go
@@ -0,0 +1,52 @@
+package demo
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wagtailspoke/wagtailspoke/internal/standin/engine"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+)
+
+// Guards against a verdict that passes although a check failed.
+func TestVerdictFailsWithAFailedCheck(t *testing.T) {
+	var out strings.Builder
+	v := &verdict{out: &out, start: time.Now()}
+	v.check("one", true, "as wanted")
+	assert.NilError(t, v.finish())
+	v.check("two", false, "%d of %d", 1, 2)
+	assert.ErrorContains(t, v.finish(), `1 of 2 checks failed: ["two"]`)
+	assert.Assert(t, strings.Contains(out.String(), "FAILED two: 1 of 2"), out.String())
+}
+
+// Guards against a match of an answer to another prompt, from another version
+// or cut short.
+func TestMatchesOnlyTheOwnWholeAnswer(t *testing.T) {
+	a := ask{adapter: "a", prompt: "p", maxTokens: 4}
+	ref := ids.AdapterRef{Adapter: "a", Version: 1}
+	whole := result{ref: ref, text: engine.Text(ref.String(), "p", 4)}
+	assert.Assert(t, whole.matches(a, 1))
+	assert.Assert(t, !whole.matches(a, 2))
+	for _, text := range []string{engine.Text(ref.String(), "p", 3), engine.Text(ref.String(), "q", 4), engine.Text("a@2", "p", 4)} {
+		assert.Assert(t, !result{ref: ref, text: text}.matches(a, 1))
+	}
+}
+
+// Guards against a demonstration that hides a daemon that does not start, or
+// that leaves processes or files behind: this test binary refuses the flag
+// --settings and ends at once.
+func TestDaemonThatEndsFailsTheDemonstration(t *testing.T) {
+	program, err := os.Executable()
+	assert.NilError(t, err)
+	t.Setenv("TMPDIR", t.TempDir())
+	var out strings.Builder
+	err = Run(t.Context(), Options{Daemon: program}, &out)
+	assert.ErrorContains(t, err, "ended: exit status")
+	left, err := os.ReadDir(os.TempDir())
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 0)
+}
--- a/pkg/ctl/demo/steps.go
+++ b/pkg/ctl/demo/steps.go
@@ -154,13 +154,16 @@
 	v.check("closed route", closed.status == http.StatusUnauthorized && closed.outcome == "NOT_RUN", "status %d %s without a key", closed.status, closed.outcome)
 }
 
-// callPatiently repeats a call that was refused as not run.
+// callPatiently repeats a keyed call that was refused as not run, or whose key
+// is still in use: the homes of a key learn the end of a call shortly after
+// its caller has the answer.
 func (w *world) callPatiently(ctx context.Context, via *vm, c call) callResult {
 	deadline := time.Now().Add(requestTimeout)
 	for {
 		r := w.call(ctx, via, c)
-		again := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
-		if !again || r.outcome != "NOT_RUN" || time.Now().After(deadline) || ctx.Err() != nil {
+		refused := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
+		again := refused && r.outcome == "NOT_RUN" || r.reason == "IDEMPOTENCY_IN_PROGRESS"
+		if !again || time.Now().After(deadline) || ctx.Err() != nil {
 			return r
 		}
 		time.Sleep(minRetryPause)
@@ -241,7 +244,7 @@
 	ctx, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
 	start := time.Now()
-	var tokens, answered, refused, wrong atomic.Int64
+	var tokens, answered, refused, late, wrong atomic.Int64
 	var failure firstError
 	parallel(requests, 24, func(i int) {
 		if ctx.Err() != nil {
@@ -259,6 +262,7 @@
 		case r.reason() == inferencev1.Reason_REASON_RATE_EXCEEDED && r.notRun():
 			refused.Add(1)
 		case connect.CodeOf(r.err) == connect.CodeDeadlineExceeded || ctx.Err() != nil:
+			late.Add(1)
 		default:
 			wrong.Add(1)
 			failure.note("%v", r.err)
@@ -267,8 +271,8 @@
 	elapsed := time.Since(start)
 	bound := smallBurst + float64(smallTokensPerMinute)/60*elapsed.Seconds()
 	v.check("rate and burst", float64(tokens.Load()) <= bound && refused.Load() > 0 && answered.Load() > 0 && wrong.Load() == 0,
-		"%d answers with %d tokens in %.1f s (allowed %.0f over all VMs), %d refused as RATE_EXCEEDED, %d other failures%s",
-		answered.Load(), tokens.Load(), elapsed.Seconds(), bound, refused.Load(), wrong.Load(), failure.text)
+		"%d answers with %d tokens in %.1f s (allowed %.0f over all VMs), %d refused as RATE_EXCEEDED, %d not answered within 1 s, %d other failures%s",
+		answered.Load(), tokens.Load(), elapsed.Seconds(), bound, refused.Load(), late.Load(), wrong.Load(), failure.text)
 }
 
 func drainUnderLoad(ctx context.Context, w *world, v *verdict) {
