--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -219,3 +220,28 @@
 		}
 	}
 }
+
+// Guards against a metric that operators meet and no page explains.
+func TestEveryMetricIsOnThePage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	assert.NilError(t, err)
+	names := []string{
+		observability.MetricRequests, observability.MetricFirstToken, observability.MetricTokenGap, observability.MetricTarget,
+		observability.MetricWindowEvents, observability.MetricWindowBad, observability.MetricWindowSpan,
+	}
+	call := regexp.MustCompile(`\.(?:Counter|Gauge|Histogram)\("([a-z_]+)"`)
+	err = filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for _, match := range call.FindAllStringSubmatch(string(source), -1) {
+			names = append(names, match[1])
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	for _, name := range names {
+		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), "the page misses the metric %s", name)
+	}
+}
