Show a cold engine and a killed VM in the demonstration

Cause: the demonstration showed no failure, though failures are what the system is for. Change: adds a step that restarts an engine cold under load and one that kills a VM and replaces it; daemons log on level debug there, so that the search for keys covers all that can be logged.

--- a/pkg/ctl/demo/demo.go
+++ b/pkg/ctl/demo/demo.go
@@ -43,7 +43,8 @@
 	v.say("stand-ins: platform %s, weight store %s, service %s, %d engines in %d data centres",
 		w.platform.Address(), w.store.Address(), w.service.Address(), len(w.engines), len(dataCentres))
 	defer w.stop()
-	if err := w.startVMs(ctx, options.Daemon, dir); err != nil {
+	w.binary, w.dir = options.Daemon, dir
+	if err := w.startVMs(ctx); err != nil {
 		return err
 	}
 	v.say("%d entry daemons are ready", len(w.vms))
@@ -63,12 +64,11 @@
 	return v.finish()
 }
 
-func (w *world) startVMs(ctx context.Context, binary, dir string) error {
+func (w *world) startVMs(ctx context.Context) error {
 	for _, v := range w.vms {
-		if err := startVM(v, binary, dir); err != nil {
-			return fmt.Errorf("starting the daemon of %s: %w", v.id(), err)
+		if err := w.startVM(v); err != nil {
+			return err
 		}
-		w.logs = append(w.logs, v.process.logFile)
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	for _, v := range w.vms {
@@ -77,6 +77,30 @@
 	return group.Wait()
 }
 
+func (w *world) startVM(v *vm) error {
+	if err := startVM(v, w.binary, w.dir); err != nil {
+		return fmt.Errorf("starting the daemon of %s: %w", v.id(), err)
+	}
+	w.logs = append(w.logs, v.process.logFile)
+	return nil
+}
+
+// replaceVM puts a VM with a new id into the place of another one, as the
+// platform does, and waits until it is ready.
+func (w *world) replaceVM(ctx context.Context, index int) (*vm, error) {
+	old := w.vms[index]
+	replacement, err := w.newVM(old.settings.DataCentre, vmsPerDataCentre+1)
+	if err != nil {
+		return nil, err
+	}
+	w.vms[index] = replacement
+	w.publishVMs("")
+	if err := w.startVM(replacement); err != nil {
+		return nil, err
+	}
+	return replacement, w.waitReady(ctx, replacement)
+}
+
 // stop ends all daemons at once, so that none waits for the others.
 func (w *world) stop() {
 	var group errgroup.Group
--- a/pkg/ctl/demo/process.go
+++ b/pkg/ctl/demo/process.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// kill ends the daemon without warning.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.done
+}
+
 // waitReady waits until the VM takes requests.
 func (w *world) waitReady(ctx context.Context, v *vm) error {
 	for deadline := time.Now().Add(readyTimeout); ; {
--- a/pkg/ctl/demo/steps.go
+++ b/pkg/ctl/demo/steps.go
@@ -34,6 +34,8 @@
 	{"a new adapter version", newVersion},
 	{"a withdrawn key", withdrawnKey},
 	{"a customer above its rate", rateLimit},
+	{"an engine that restarts cold under load", engineRestart},
+	{"a VM killed under load and replaced", vmKilled},
 	{"a VM drained under load", drainUnderLoad},
 	{"what the endpoints and the logs saw", whatEndpointsSaw},
 }
@@ -275,6 +277,89 @@
 		answered.Load(), tokens.Load(), elapsed.Seconds(), bound, refused.Load(), late.Load(), wrong.Load(), failure.text)
 }
 
+// tally counts how requests under a fault ended.
+type tally struct {
+	whole, unknown, broken, wrong, refused atomic.Int64
+	failure                                firstError
+}
+
+// count adds the result of one request.
+func (t *tally) count(via *vm, a ask, r result) {
+	switch {
+	case r.matches(a, 1):
+		t.whole.Add(1)
+	case r.err == nil:
+		t.wrong.Add(1)
+		t.failure.note("%s via %s: answer of %s: %q", a.adapter, via.id(), r.ref, r.text)
+	case r.notRun():
+		t.refused.Add(1)
+		t.failure.note("%s via %s: %v", a.adapter, via.id(), r.err)
+	case r.outcome != nil:
+		t.unknown.Add(1)
+	default:
+		t.broken.Add(1)
+	}
+}
+
+// mixedLoad sends unary and streaming requests through the VMs, and runs the
+// fault soon after the first ones have started.
+func (w *world) mixedLoad(ctx context.Context, name string, requests int, fault func()) *tally {
+	var t tally
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(4 * firstTokenTime)
+		fault()
+	})
+	via := append([]*vm(nil), w.vms...)
+	parallel(requests, 12, func(i int) {
+		a := ask{
+			key: w.keys["large-1"], adapter: adapterName(1 + i%(adapters-1)), version: 1,
+			prompt: fmt.Sprintf("%s %d", name, i), maxTokens: 40, stream: i%2 == 0,
+		}
+		t.count(via[i%len(via)], a, via[i%len(via)].send(ctx, a))
+	})
+	group.Wait()
+	return &t
+}
+
+func engineRestart(ctx context.Context, w *world, v *verdict) {
+	const requests = 72
+	restarted := w.engines[0]
+	t := w.mixedLoad(ctx, "restart", requests, restarted.Restart)
+	v.check("engine restart", t.wrong.Load() == 0 && t.broken.Load() == 0 && t.refused.Load() == 0 && t.whole.Load() > 0,
+		"%s restarted; %d of %d answers whole, %d streams ended as UNKNOWN, %d wrong, %d refused, %d without an outcome%s",
+		restarted.id, t.whole.Load(), requests, t.unknown.Load(), t.wrong.Load(), t.refused.Load(), t.broken.Load(), t.failure.text)
+}
+
+func vmKilled(ctx context.Context, w *world, v *verdict) {
+	const requests, victim = 72, 1
+	killed := w.vms[victim]
+	t := w.mixedLoad(ctx, "kill", requests, killed.process.kill)
+	// Requests through the killed VM break without an outcome: a quarter of
+	// all at most. No other request may.
+	v.check("VM killed", t.wrong.Load() == 0 && t.refused.Load() == 0 && t.broken.Load() <= int64(requests/len(w.vms)),
+		"%s killed; %d of %d answers whole, %d broken connections, %d ended as UNKNOWN, %d wrong, %d refused%s",
+		killed.id(), t.whole.Load(), requests, t.broken.Load(), t.unknown.Load(), t.wrong.Load(), t.refused.Load(), t.failure.text)
+
+	replacement, err := w.replaceVM(ctx, victim)
+	if err != nil {
+		v.check("VM replaced", false, "%v", err)
+		return
+	}
+	served := 0
+	var failure firstError
+	for i := range adapters - 1 {
+		a := ask{key: w.keys["large-1"], adapter: adapterName(1 + i), version: 1, prompt: "replaced", maxTokens: 4}
+		r := replacement.send(ctx, a)
+		if r.matches(a, 1) {
+			served++
+			continue
+		}
+		failure.note("%s: %v", a.adapter, r.err)
+	}
+	v.check("VM replaced", served == adapters-1, "%s serves %d of %d adapters%s", replacement.id(), served, adapters-1, failure.text)
+}
+
 func drainUnderLoad(ctx context.Context, w *world, v *verdict) {
 	leaving := w.vms[len(w.vms)-1]
 	const before, requests = 8, 64
--- a/pkg/ctl/demo/world.go
+++ b/pkg/ctl/demo/world.go
@@ -78,6 +78,8 @@
 	engines  []namedEngine
 	service  *service.Service
 	vms      []*vm
+	// binary is the path of the daemon, dir where settings and logs go.
+	binary, dir string
 	// logs holds the log files of all daemons.
 	logs []string
 	// keys holds the secret keys by the id of their record.
@@ -222,27 +224,35 @@
 func (w *world) chooseAddresses() error {
 	for _, dataCentre := range dataCentres {
 		for i := range vmsPerDataCentre {
-			entry := settings.Defaults()
-			entry.VMID = ids.VMID(fmt.Sprintf("vm-%s-%d", dataCentre, i+1))
-			entry.DataCentre = dataCentre
-			entry.Region = region
-			entry.Platform.Address = w.platform.Address()
-			for _, address := range []*string{&entry.Listen.Callers, &entry.Listen.Peers, &entry.Listen.Admin} {
-				free, err := freeAddress()
-				if err != nil {
-					return err
-				}
-				*address = free
+			v, err := w.newVM(dataCentre, i+1)
+			if err != nil {
+				return err
 			}
-			w.vms = append(w.vms, &vm{
-				settings: entry,
-				client:   inferencev1connect.NewInferenceServiceClient(w.http, "http://"+entry.Listen.Callers),
-			})
+			w.vms = append(w.vms, v)
 		}
 	}
 	return nil
 }
 
+func (w *world) newVM(dataCentre ids.DataCentreID, number int) (*vm, error) {
+	entry := settings.Defaults()
+	entry.VMID = ids.VMID(fmt.Sprintf("vm-%s-%d", dataCentre, number))
+	entry.DataCentre = dataCentre
+	entry.Region = region
+	// The search of the logs for keys covers all that can be logged.
+	entry.Log.Level = "debug"
+	entry.Platform.Address = w.platform.Address()
+	for _, address := range []*string{&entry.Listen.Callers, &entry.Listen.Peers, &entry.Listen.Admin} {
+		free, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	client := inferencev1connect.NewInferenceServiceClient(w.http, "http://"+entry.Listen.Callers)
+	return &vm{settings: entry, client: client}, nil
+}
+
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
