--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/limits"
 )
 
 func main() {
@@ -25,5 +27,7 @@
 
 // experiments lists the subcommands, one for each package below internal/bench.
 func experiments() []*cobra.Command {
-	return []*cobra.Command{}
+	return []*cobra.Command{
+		limits.Command(),
+	}
 }
--- a/pkg/coordination/limits/gather.go
+++ b/pkg/coordination/limits/gather.go
@@ -19,6 +19,8 @@
 	// releaseMargin is how long before their end unused reserves are released,
 	// so that a late wake-up does not lose them.
 	releaseMargin = 10 * time.Millisecond
+	// minWake keeps wake-ups apart.
+	minWake = time.Millisecond
 	// farScan bounds the peers of other data centres looked at per decision.
 	farScan = 64
 )
@@ -243,12 +245,14 @@
 		wake = min(wake, r.expires-int64(releaseMargin))
 	}
 	for _, a := range b.asks {
-		wake = min(wake, a.sent+t.acceptAge()+1)
+		if t.rules.dropLate {
+			wake = min(wake, a.sent+t.acceptAge()+1)
+		}
 	}
 	for _, h := range b.hints {
 		if h.retryAt > now {
 			wake = min(wake, h.retryAt)
 		}
 	}
-	return max(wake, now+1)
+	return max(wake, now+int64(minWake))
 }
