Ask ahead of need, defer hopeless gathering, lend to older waits

Cause: refusals within the rate came from stale retry times, lost accrual of full buckets and VMs that gathered against each other. Change: asks ahead when the level is low, gathering above the own cap only when peers probably have enough, lending to requests that wait longer, and raises that count from the acknowledgement on even for idle customers.

--- a/pkg/coordination/limits/admit.go
+++ b/pkg/coordination/limits/admit.go
@@ -23,6 +23,7 @@
 type waiter struct {
 	ticket   Ticket
 	cost     int64
+	since    int64
 	deadline int64
 }
 
@@ -63,7 +64,9 @@
 	}
 	need := cost * micro
 	if len(b.waiting) == 0 && need <= b.level {
-		return Decision{Verdict: Granted, Charge: t.charge(sh, b, s, at, need)}
+		decision := Decision{Verdict: Granted, Charge: t.charge(sh, b, s, at, need)}
+		t.askAhead(sh, b, s, at, &decision.Outcome)
+		return decision
 	}
 	if len(b.waiting) >= t.cfg.MaxWaiting {
 		return t.refuse(sh, ReasonOverRate, t.retryAfter(b, need))
@@ -72,8 +75,11 @@
 	if end <= at {
 		return t.refuse(sh, ReasonOverRate, t.retryAfter(b, need))
 	}
+	if len(b.waiting) == 0 {
+		b.busySince = at
+	}
 	ticket := Ticket(t.tickets.Add(1))
-	b.waiting = append(b.waiting, waiter{ticket: ticket, cost: need, deadline: end})
+	b.waiting = append(b.waiting, waiter{ticket: ticket, cost: need, since: at, deadline: end})
 	sh.counters.Waited++
 	decision := Decision{Verdict: Waiting, Ticket: ticket}
 	t.process(sh, b, at, &decision.Outcome)
--- a/pkg/coordination/limits/bucket.go
+++ b/pkg/coordination/limits/bucket.go
@@ -39,6 +39,10 @@
 	reserve []reserved
 	asks    []openAsk
 	hints   map[ids.VMID]hint
+	// busySince is the time of the oldest wait since the queue was empty.
+	busySince int64
+	// nextAhead is the earliest time of the next ask ahead of need.
+	nextAhead int64
 	// cursor rotates the first peer that is asked.
 	cursor int
 }
@@ -121,19 +125,18 @@
 }
 
 // touch brings a bucket up to a time: it accrues with the shares that were in
-// force, clips, and puts an acknowledged raise into force. It returns the share
-// now in force.
+// force, clips, and puts an acknowledged raise into force from the time of the
+// last acknowledgement. It returns the share now in force.
 func (t *Table) touch(b *bucket, now int64) share {
-	if now > b.last {
-		t.seats.steps(b.last, now, func(from, to int64, seats seatRule) {
-			s := t.shareAt(b, seats.fraction(b, t.dc))
-			b.level = min(b.level+accrual(s.rate, to-from), max(s.capNow(b, to, t.maxAge()), 0))
-		})
-		b.last = now
-	}
-	if b.target > b.inForce && (!t.rules.raiseAfterAck || t.acks.settled(b.policy.Revision)) {
-		b.inForce = b.target
+	if b.target > b.inForce {
+		if at, settled := t.acks.settled(b.policy.Revision); settled {
+			t.earn(b, min(at, now))
+			b.inForce = b.target
+		} else if !t.rules.raiseAfterAck {
+			b.inForce = b.target
+		}
 	}
+	t.earn(b, now)
 	s := t.shareAt(b, t.seats.at(now).fraction(b, t.dc))
 	ceiling := s.capNow(b, now, t.maxAge())
 	b.level = min(b.level, ceiling)
@@ -141,6 +144,18 @@
 	return s
 }
 
+// earn accrues up to a time and clips the level.
+func (t *Table) earn(b *bucket, until int64) {
+	if until <= b.last {
+		return
+	}
+	t.seats.steps(b.last, until, func(from, to int64, seats seatRule) {
+		s := t.shareAt(b, seats.fraction(b, t.dc))
+		b.level = min(b.level+accrual(s.rate, to-from), s.capNow(b, to, t.maxAge()))
+	})
+	b.last = until
+}
+
 func (t *Table) maxAge() int64 { return int64(t.cfg.TransferMaxAge) }
 
 // deduct takes an amount from the own level and opens a mark for a later
--- a/pkg/coordination/limits/config.go
+++ b/pkg/coordination/limits/config.go
@@ -38,7 +38,7 @@
 		TransferMaxAge: 250 * time.Millisecond,
 		MaxWait:        time.Second,
 		MaxWaiting:     64,
-		Fanout:         8,
+		Fanout:         16,
 		ListLagBound:   10 * time.Second,
 		FirstAsk:       1,
 	}
--- a/pkg/coordination/limits/gather.go
+++ b/pkg/coordination/limits/gather.go
@@ -19,6 +19,10 @@
 	// releaseMargin is how long before their end unused reserves are released,
 	// so that a late wake-up does not lose them.
 	releaseMargin = 10 * time.Millisecond
+	// aheadPart is the part of the cap below which tokens are asked for ahead
+	// of need, and aheadPause the least time between two such asks.
+	aheadPart  = 4
+	aheadPause = 100 * time.Millisecond
 	// minWake keeps wake-ups apart.
 	minWake = time.Millisecond
 	// farScan bounds the peers of other data centres looked at per decision.
@@ -58,11 +62,39 @@
 		b.waiting = nil
 		return
 	}
+	wake := t.wakeAt(b, s, now)
 	short := t.shortage(b)
-	if short > 0 && earnTime(s.rate, short) > ownWait {
+	large := b.waiting[0].cost > s.cap
+	switch {
+	case short <= 0 || !large && earnTime(s.rate, short) <= ownWait:
+	case large && t.gatherTime(b, now) > 0:
+		wake = min(wake, now+int64(t.gatherTime(b, now)))
+	default:
 		t.ask(sh, b, s, now, short, out)
+		wake = min(wake, now+t.acceptAge()+1)
+	}
+	out.WakeAt = t.start.Add(time.Duration(wake))
+}
+
+// gatherTime returns how long the peers probably need to earn what the first
+// waiting request lacks. What exceeds the own cap must arrive within one
+// TransferMaxAge; tokens that are asked for earlier would only go back.
+func (t *Table) gatherTime(b *bucket, now int64) time.Duration {
+	lack, rate := b.waiting[0].cost-b.level-b.reserved(), int64(0)
+	for _, a := range b.asks {
+		lack -= a.need
+	}
+	peers := t.peers.Load().vms
+	for _, vm := range peers[:min(len(peers), farScan)] {
+		s := t.shareAt(b, b.policy.fraction(vm.DataCentre))
+		held := s.cap
+		if h, heard := b.hints[vm.ID]; heard {
+			held = min(s.cap, h.left+accrual(s.rate, now-h.at))
+		}
+		lack -= held
+		rate += s.rate
 	}
-	out.WakeAt = t.start.Add(time.Duration(t.wakeAt(b, s, now)))
+	return earnTime(rate, lack)
 }
 
 // serve grants waiting requests in order and refuses those past their
@@ -187,13 +219,54 @@
 	spare := max((s.cap/2-b.level)/int64(len(chosen)), 0) / micro
 	for _, c := range chosen {
 		need := (c.expected + extra + micro - 1) / micro
-		id := t.nextAsk.Add(1)
-		b.asks = append(b.asks, openAsk{id: id, to: c.vm, sent: now, need: need * micro})
-		sh.counters.AsksSent++
-		out.Asks = append(out.Asks, Ask{To: c.vm, Request: peer.LimitsBorrowRequest{
-			Ask: id, From: t.self, Customer: b.customer, Need: need, Spare: spare,
-		}})
+		t.sendAsk(sh, b, now, c.vm, peer.LimitsBorrowRequest{
+			Need: need, Spare: spare,
+			WaitedMillis: (now - b.waiting[0].since) / int64(time.Millisecond),
+		}, out)
+	}
+}
+
+// askAhead asks the fullest peer for spare tokens when the own level is low. A
+// full bucket loses what it earns, so its tokens are moved before a request has
+// to wait for them.
+func (t *Table) askAhead(sh *tableShard, b *bucket, s share, now int64, out *Outcome) {
+	if b.level >= s.cap/aheadPart || len(b.asks) > 0 || now < b.nextAhead {
+		return
 	}
+	b.nextAhead = now + int64(aheadPause)
+	peers := t.peers.Load()
+	best := t.fullest(b, now, peers.vms[:peers.near])
+	if best.expected <= s.cap/2 {
+		far := peers.vms[peers.near:]
+		if len(far) == 0 {
+			return
+		}
+		b.cursor++
+		from := b.cursor % len(far)
+		best = t.fullest(b, now, far[from:min(len(far), from+farScan)])
+	}
+	if spare := (s.cap/2 - b.level) / micro; spare > 0 && best.expected > s.cap/2 {
+		t.sendAsk(sh, b, now, best.vm, peer.LimitsBorrowRequest{Spare: spare}, out)
+	}
+}
+
+// fullest returns the peer that probably has most.
+func (t *Table) fullest(b *bucket, now int64, vms []VM) candidate {
+	var best candidate
+	for _, vm := range vms {
+		if expected := t.expected(b, now, vm); expected > best.expected {
+			best = candidate{vm: vm.ID, expected: expected}
+		}
+	}
+	return best
+}
+
+// sendAsk opens an ask and adds its message.
+func (t *Table) sendAsk(sh *tableShard, b *bucket, now int64, to ids.VMID, req peer.LimitsBorrowRequest, out *Outcome) {
+	req.Ask, req.From, req.Customer = t.nextAsk.Add(1), t.self, b.customer
+	b.asks = append(b.asks, openAsk{id: req.Ask, to: to, sent: now, need: req.Need * micro})
+	sh.counters.AsksSent++
+	out.Asks = append(out.Asks, Ask{To: to, Request: req})
 }
 
 // pick adds peers to the chosen ones, the fullest first, until the shortage is
@@ -228,7 +301,7 @@
 	h, heard := b.hints[vm.ID]
 	switch {
 	case !heard:
-		return s.cap / 2
+		return s.cap/2 + micro
 	case h.retryAt > now:
 		return 0
 	}
--- a/pkg/coordination/limits/lend.go
+++ b/pkg/coordination/limits/lend.go
@@ -7,11 +7,14 @@
 )
 
 const (
-	// minRetry is the least time after which a lender that fell short is asked
-	// again.
-	minRetry = 50 * time.Millisecond
-	// busyRetry is the same for a lender whose own requests wait.
-	busyRetry = 500 * time.Millisecond
+	// minRetry and shortRetry bound the time after which a lender that fell
+	// short is asked again. Requests wait a second at most, so a longer time
+	// costs refusals; a shorter one only adds messages.
+	minRetry   = 50 * time.Millisecond
+	shortRetry = 250 * time.Millisecond
+	// busyRetry bounds the same for a lender whose own requests wait: the
+	// longer they have waited already, the later it is asked again.
+	busyRetry = 2 * time.Second
 	// loanMemory is how long a loan may be returned; borrowers return within
 	// TransferMaxAge.
 	loanMemory = 2 * time.Second
@@ -35,23 +38,32 @@
 	}
 	at := t.nanos(now)
 	s := t.touch(b, at)
-	if len(b.waiting) > 0 {
-		reply.RetryMillis = busyRetry.Milliseconds()
+	if b.waitedLonger(at, req.WaitedMillis) {
+		reply.RetryMillis = min(max(time.Duration(at-b.busySince)/4, minRetry), busyRetry).Milliseconds()
 		return reply
 	}
 	need := min(max(req.Need, 0), maxCost)
 	reply.Granted = min(need, b.level/micro)
 	surplus := max(b.level-reply.Granted*micro-s.cap/2, 0) / micro
-	reply.Granted += min(max(req.Spare, 0), surplus)
+	if len(b.waiting) == 0 {
+		reply.Granted += min(max(req.Spare, 0), surplus)
+	}
 	t.lend(sh, b, s, at, req, reply.Granted*micro)
 	if reply.Granted < need {
 		wanted := min((need-reply.Granted)*micro, s.cap/retryPart)
-		reply.RetryMillis = max(earnTime(s.rate, wanted), minRetry).Milliseconds()
+		reply.RetryMillis = min(max(earnTime(s.rate, wanted), minRetry), shortRetry).Milliseconds()
 	}
 	reply.Left = b.level / micro
 	return reply
 }
 
+// waitedLonger tells whether an own request waits at least as long as the
+// asker's. Otherwise VMs that gather at the same time would each keep a part
+// that suffices for none.
+func (b *bucket) waitedLonger(now, waitedMillis int64) bool {
+	return len(b.waiting) > 0 && (now-b.waiting[0].since)/int64(time.Millisecond) >= waitedMillis
+}
+
 // lend deducts a loan and remembers it for a return.
 func (t *Table) lend(sh *tableShard, b *bucket, s share, now int64, req peer.LimitsBorrowRequest, amount int64) {
 	if amount == 0 || !t.rules.lenderDeducts {
--- a/pkg/coordination/limits/seats.go
+++ b/pkg/coordination/limits/seats.go
@@ -165,15 +165,26 @@
 	matched map[ids.VMID]ids.Revision
 	listed  []ids.VMID
 	known   bool
-	// least is the smallest matched revision of the listed peers.
-	least ids.Revision
+	// advances tells since when every listed VM had applied a revision, so
+	// that a bucket that is touched late earns its raise from then on.
+	advances []advance
 }
 
+// advance is a revision that all VMs of the list had applied at a time.
+type advance struct {
+	revision ids.Revision
+	at       int64
+}
+
+// maxAdvances bounds the remembered advances. A forgotten one counts from the
+// next, which is later and therefore safe.
+const maxAdvances = 64
+
 func newAckLog(self ids.VMID) *ackLog {
 	return &ackLog{self: self, applied: map[ids.VMID]ids.Revision{}, matched: map[ids.VMID]ids.Revision{}}
 }
 
-func (a *ackLog) observe(vm ids.VMID, revision ids.Revision) {
+func (a *ackLog) observe(now int64, vm ids.VMID, revision ids.Revision) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if revision <= a.applied[vm] {
@@ -187,7 +198,7 @@
 	} else {
 		a.match(vm)
 	}
-	a.refresh()
+	a.refresh(now)
 }
 
 func (a *ackLog) match(vm ids.VMID) {
@@ -197,7 +208,7 @@
 }
 
 // list sets the VMs whose acknowledgements a raise needs and forgets others.
-func (a *ackLog) list(vms []VM) {
+func (a *ackLog) list(now int64, vms []VM) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.known = true
@@ -211,24 +222,38 @@
 		}
 	}
 	a.applied, a.matched = applied, matched
-	a.refresh()
+	a.refresh(now)
 }
 
-func (a *ackLog) refresh() {
+// refresh records an advance of the smallest matched revision of the list.
+func (a *ackLog) refresh(now int64) {
 	if !a.known {
 		return
 	}
-	a.least = a.applied[a.self]
+	least := a.applied[a.self]
 	for _, vm := range a.listed {
-		a.least = min(a.least, a.matched[vm])
+		least = min(least, a.matched[vm])
+	}
+	if n := len(a.advances); n > 0 && least <= a.advances[n-1].revision {
+		return
+	}
+	a.advances = append(a.advances, advance{revision: least, at: now})
+	if len(a.advances) > maxAdvances {
+		a.advances = append(a.advances[:0], a.advances[1:]...)
 	}
 }
 
-// settled tells whether every listed VM has applied a revision.
-func (a *ackLog) settled(revision ids.Revision) bool {
+// settled tells whether, and since when, every listed VM has applied a
+// revision.
+func (a *ackLog) settled(revision ids.Revision) (int64, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.known && a.least >= revision
+	for _, adv := range a.advances {
+		if adv.revision >= revision {
+			return adv.at, true
+		}
+	}
+	return 0, false
 }
 
 // pendingOn returns the listed VMs that have not acknowledged a revision.
--- a/pkg/coordination/limits/slots.go
+++ b/pkg/coordination/limits/slots.go
@@ -141,7 +141,7 @@
 
 // free returns the own units that are neither lent nor in use.
 func (s *Slots) free(now time.Time) int64 {
-	if s.target > s.inForce && s.table.acks.settled(s.revision) {
+	if _, settled := s.table.acks.settled(s.revision); settled {
 		s.inForce = s.target
 	}
 	if now.Before(s.begin) {
--- a/pkg/coordination/limits/table.go
+++ b/pkg/coordination/limits/table.go
@@ -101,14 +101,14 @@
 	list.near = len(list.vms)
 	list.vms = append(list.vms, far...)
 	t.peers.Store(list)
-	t.acks.list(v.VMs)
+	t.acks.list(t.nanos(now), v.VMs)
 	t.seats.observe(t.nanos(now), t.nanos(v.ConfirmedAt), live)
 }
 
 // ObserveApplied takes the revision up to which a VM, or this one, has applied
 // all records. For this VM the driver calls it after the calls of Apply.
-func (t *Table) ObserveApplied(vm ids.VMID, revision ids.Revision) {
-	t.acks.observe(vm, revision)
+func (t *Table) ObserveApplied(now time.Time, vm ids.VMID, revision ids.Revision) {
+	t.acks.observe(t.nanos(now), vm, revision)
 }
 
 // Apply puts a customer's policy into force. A lowered rate, burst or share
--- a/pkg/protocol/peer/limits.go
+++ b/pkg/protocol/peer/limits.go
@@ -27,6 +27,9 @@
 	Need int64 `json:"n,omitempty"`
 	// Spare is what the asker takes beyond Need if the lender can spare it.
 	Spare int64 `json:"s,omitempty"`
+	// WaitedMillis is how long the asker's oldest request has waited. A lender
+	// whose own requests wait lends to longer waits only.
+	WaitedMillis int64 `json:"w,omitempty"`
 }
 
 // LimitsBorrowReply carries tokens that the lender has already deducted.
