--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/faults"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/limits"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/path"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/placement"
 )
@@ -33,6 +34,7 @@
 	return []*cobra.Command{
 		config.Command(),
 		faults.Command(),
+		limits.Command(),
 		path.Command(),
 		placement.Command(),
 	}
