Keep load rights for customers within their share

Cause: rights to the store are shared by all owners, so one customer's cold adapters took them at whichever owner asked first, and fair order within an owner did not help.

--- a/pkg/coordination/placement/demand.go
+++ b/pkg/coordination/placement/demand.go
@@ -29,10 +29,13 @@
 	mu      sync.Mutex
 	term    time.Duration
 	entries map[demandKey]map[waiterKey]waiters
-	// served is, per customer, the loads begun for it. The customer with the
+	// served is, per customer, the loads begun for it by its weight. The customer with the
 	// fewest comes first, so that one with many cold adapters cannot take all
 	// loads from the others.
-	served map[ids.CustomerID]float64
+	served  map[ids.CustomerID]float64
+	weights map[ids.CustomerID]float64
+	// recent counts the loads of the last while, to see who is above its share.
+	recent map[ids.CustomerID]*decaying
 	// told finds the endpoint of a pair's latest demand: demand that moves to
 	// another endpoint counts there only.
 	told map[toldKey]ids.EndpointID
@@ -50,6 +53,10 @@
 	since    time.Time
 	// customers are those that wait, with their requests.
 	customers map[ids.CustomerID]int
+	// rank is the place in the order of loads; the lowest comes first.
+	rank float64
+	// spare tells that all customers that wait are above their share.
+	spare bool
 }
 
 func newDemandBook(term time.Duration) *demandBook {
@@ -57,6 +64,8 @@
 		term:    term,
 		entries: make(map[demandKey]map[waiterKey]waiters),
 		served:  make(map[ids.CustomerID]float64),
+		weights: make(map[ids.CustomerID]float64),
+		recent:  make(map[ids.CustomerID]*decaying),
 		told:    make(map[toldKey]ids.EndpointID),
 	}
 }
@@ -141,19 +150,78 @@
 	}
 }
 
+// shareMemory is the half-life of the loads that count towards a customer's
+// share. It covers some dozens of loads at an owner's part of the store's rate.
+const shareMemory = 30 * time.Second
+
 // charge divides one load among the customers that wait for it.
-func (b *demandBook) charge(n need) {
+func (b *demandBook) charge(now time.Time, n need) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for customer, requests := range n.customers {
-		b.served[customer] += float64(requests) / float64(n.requests)
+		part := float64(requests) / float64(n.requests)
+		b.served[customer] += part / b.weightOf(customer)
+		if b.recent[customer] == nil {
+			b.recent[customer] = &decaying{}
+		}
+		b.recent[customer].add(now, part, shareMemory)
+	}
+}
+
+func (b *demandBook) weightOf(customer ids.CustomerID) float64 {
+	if weight, ok := b.weights[customer]; ok {
+		return weight
 	}
+	return 1
 }
 
-func (b *demandBook) servedOf(customer ids.CustomerID) float64 {
+// leastRecent is the number of recent loads from which a customer counts as
+// active when shares are computed.
+const leastRecent = 0.05
+
+// aboveShare tells whether all customers that wait had more than their share of
+// the recent loads, by weight among those that had any.
+func (b *demandBook) aboveShare(now time.Time, n need) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.served[customer]
+	loads, weights := 0.0, 0.0
+	for customer, recent := range b.recent {
+		if value := recent.read(now, shareMemory); value > leastRecent {
+			loads += value
+			weights += b.weightOf(customer)
+		}
+	}
+	for customer := range n.customers {
+		recent := b.recent[customer]
+		if recent == nil || recent.read(now, shareMemory)*weights <= loads*b.weightOf(customer) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *demandBook) setWeight(customer ids.CustomerID, weight float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if weight > 0 {
+		b.weights[customer] = weight
+	}
+}
+
+// leastServed returns, for each need, the service of its least served customer.
+func (b *demandBook) leastServed(needs []need) []float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]float64, len(needs))
+	for i, n := range needs {
+		first := true
+		for customer := range n.customers {
+			if served := b.served[customer]; first || served < out[i] {
+				out[i], first = served, false
+			}
+		}
+	}
+	return out
 }
 
 // drop removes the demand for a load that has been carried out.
--- a/pkg/coordination/placement/plan.go
+++ b/pkg/coordination/placement/plan.go
@@ -63,13 +63,14 @@
 		p.OrderDone(now, id, ResultUnknown, gate)
 	}
 	var out []Order
-	for _, n := range p.rank(now, p.demand.needs(now)) {
+	for _, n := range p.rank(p.demand.needs(now)) {
+		n.spare = p.demand.aboveShare(now, n)
 		order, step := p.planOne(now, n, gate)
-		if step == stepNoRight {
+		if step == stepNoRight && !n.spare {
 			break
 		}
 		if step == stepOrdered {
-			p.demand.charge(n)
+			p.demand.charge(now, n)
 			out = append(out, order)
 		}
 	}
@@ -83,20 +84,26 @@
 	p.backoff.sweep(now)
 }
 
-// rank orders demand: first the customer with the fewest loads so far, then by
-// policy the longest wait or the most waiters.
-func (p *Planner) rank(now time.Time, needs []need) []need {
-	least := make(map[demandKey]float64, len(needs))
-	for _, n := range needs {
-		least[n.key] = p.leastServed(n)
+// batchCredit is by how many loads each further waiting request moves a need
+// ahead under the throughput policy. A need that serves many requests so comes
+// early, while a customer with few requests is not passed over for good.
+const batchCredit = 0.5
+
+// rank orders demand: first that of the customer with the fewest loads for its
+// weight so far, then the longest wait. The throughput policy gives credit for
+// the number of waiting requests.
+func (p *Planner) rank(needs []need) []need {
+	least := p.demand.leastServed(needs)
+	for i := range needs {
+		needs[i].rank = least[i]
+		if p.cfg.Policy == records.PolicyThroughput {
+			needs[i].rank -= batchCredit * float64(needs[i].requests-1)
+		}
 	}
 	sort.Slice(needs, func(i, j int) bool {
 		a, b := needs[i], needs[j]
-		if p.cfg.Policy == records.PolicyThroughput && a.requests != b.requests {
-			return a.requests > b.requests
-		}
-		if least[a.key] != least[b.key] {
-			return least[a.key] < least[b.key]
+		if a.rank != b.rank {
+			return a.rank < b.rank
 		}
 		if !a.since.Equal(b.since) {
 			return a.since.Before(b.since)
@@ -109,16 +116,6 @@
 	return needs
 }
 
-func (p *Planner) leastServed(n need) float64 {
-	least, found := 0.0, false
-	for customer := range n.customers {
-		if served := p.demand.servedOf(customer); !found || served < least {
-			least, found = served, true
-		}
-	}
-	return least
-}
-
 type step int
 
 const (
@@ -142,7 +139,7 @@
 		return Order{}, stepSkipped
 	}
 	if known.freeSlots() > 0 {
-		return p.planLoad(now, known, ref, gate)
+		return p.planLoad(now, known, n, gate)
 	}
 	return p.planEviction(now, known, n, gate)
 }
@@ -156,18 +153,26 @@
 	return n.requests > 1 || now.Sub(n.since) >= p.cfg.Patience
 }
 
-func (p *Planner) planLoad(now time.Time, known *engine, ref ids.AdapterRef, gate Gate) (Order, step) {
+func (p *Planner) planLoad(now time.Time, known *engine, n need, gate Gate) (Order, step) {
+	ref := n.key.ref
 	fence, err := gate.MayLoad(now, known.id)
 	if p.rules.gate && err != nil {
 		return Order{}, stepSkipped
 	}
-	if !gate.TakeLoad(now) {
+	if !takeRight(now, n, gate) {
 		return Order{}, stepNoRight
 	}
 	known.loading[ref] = true
 	return p.orders.add(now, Order{Kind: OrderLoad, Endpoint: known.id, Ref: ref, Fence: fence, Boot: known.boot, SendBy: now.Add(p.cfg.SendTerm)}), stepOrdered
 }
 
+func takeRight(now time.Time, n need, gate Gate) bool {
+	if taker, ok := gate.(SpareTaker); ok && n.spare {
+		return taker.TakeSpareLoad(now)
+	}
+	return gate.TakeLoad(now)
+}
+
 func (p *Planner) planEviction(now time.Time, known *engine, n need, gate Gate) (Order, step) {
 	fence, err := gate.MayOrder(now, known.id)
 	if p.rules.gate && err != nil {
@@ -178,7 +183,7 @@
 		known.crowdedUntil = now.Add(p.cfg.CrowdedTerm)
 		return Order{}, stepSkipped
 	}
-	if !gate.TakeLoad(now) {
+	if !takeRight(now, n, gate) {
 		return Order{}, stepNoRight
 	}
 	known.evicting[victim] = true
--- a/pkg/coordination/placement/planner.go
+++ b/pkg/coordination/placement/planner.go
@@ -194,6 +194,11 @@
 	p.demand.tell(now, w)
 }
 
+// SetWeight sets a customer's weight in the order of loads; the default is 1.
+func (p *Planner) SetWeight(customer ids.CustomerID, weight float64) {
+	p.demand.setWeight(customer, weight)
+}
+
 // View describes one endpoint for status pages and routing.
 type View struct {
 	Endpoint  ids.EndpointID
--- /dev/null
+++ b/pkg/coordination/placement/teller.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+)
+
+// tellAgain is after which part of DemandTerm unchanged demand is told again,
+// so that one lost message does not end it.
+const tellAgain = 0.4
+
+// Teller decides which parts of a VM's demand the owners need to be told: what
+// is new, changed, moved or gone, and the rest only now and then. It is not
+// safe for concurrent use.
+type Teller struct {
+	term time.Duration
+	told map[demandPart]toldPart
+}
+
+type demandPart struct {
+	ref      ids.AdapterRef
+	customer ids.CustomerID
+}
+
+type toldPart struct {
+	endpoint ids.EndpointID
+	requests int
+	at       time.Time
+}
+
+// NewTeller returns a teller that has told nothing yet. term is the DemandTerm
+// of the owners.
+func NewTeller(term time.Duration) *Teller {
+	return &Teller{term: time.Duration(float64(term) * tellAgain), told: make(map[demandPart]toldPart)}
+}
+
+// Due takes all demand of the VM and returns what to tell the owners of the
+// endpoints in it. Demand that has gone or moved is told with zero requests.
+func (t *Teller) Due(now time.Time, all []Waiting) []Waiting {
+	var due []Waiting
+	present := make(map[demandPart]bool, len(all))
+	for _, w := range all {
+		part := demandPart{ref: w.Ref, customer: w.Customer}
+		present[part] = true
+		before, ok := t.told[part]
+		if ok && before.endpoint == w.Endpoint && before.requests == w.Requests && now.Sub(before.at) < t.term {
+			continue
+		}
+		if ok && before.endpoint != w.Endpoint {
+			due = append(due, Waiting{Sender: w.Sender, Endpoint: before.endpoint, Ref: w.Ref, Customer: w.Customer})
+		}
+		t.told[part] = toldPart{endpoint: w.Endpoint, requests: w.Requests, at: now}
+		due = append(due, w)
+	}
+	return append(due, t.gone(present)...)
+}
+
+func (t *Teller) gone(present map[demandPart]bool) []Waiting {
+	var out []Waiting
+	for part, before := range t.told {
+		if !present[part] {
+			out = append(out, Waiting{Endpoint: before.endpoint, Ref: part.ref, Customer: part.customer})
+			delete(t.told, part)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Ref != out[j].Ref {
+			return lessRef(out[i].Ref, out[j].Ref)
+		}
+		return out[i].Customer < out[j].Customer
+	})
+	return out
+}
--- a/pkg/coordination/placement/types.go
+++ b/pkg/coordination/placement/types.go
@@ -166,3 +166,12 @@
 	// certain, so that the place is free at once.
 	EndLoad(now time.Time, used, known bool)
 }
+
+// SpareTaker is implemented by gates that keep part of their rights back for
+// customers within their share. A gate without it treats all loads alike.
+type SpareTaker interface {
+	// TakeSpareLoad is called in place of Gate.TakeLoad for a customer that had
+	// more than its share of the loads lately. It succeeds only if rights
+	// remain for others after it.
+	TakeSpareLoad(now time.Time) bool
+}
