Grade the reserve of load rights by how far a customer is above its share

Cause: a fixed reserve also held back customers near their share, because the share seen by one owner is noisy. Change: the reserve grows from zero at the share to the whole burst at one and a half times the share, over a memory of a minute.

--- a/internal/bench/placement/fleet.go
+++ b/internal/bench/placement/fleet.go
@@ -194,7 +194,9 @@
 
 func (v *vm) TakeLoad(now time.Time) bool { return v.budget.TakeLoad(now) }
 
-func (v *vm) TakeSpareLoad(now time.Time) bool { return v.budget.TakeSpareLoad(now) }
+func (v *vm) TakeSpareLoad(now time.Time, reserve float64) bool {
+	return v.budget.TakeSpareLoad(now, reserve)
+}
 
 func (v *vm) EndLoad(now time.Time, used, known bool) { v.budget.EndLoad(now, used, known) }
 
--- a/pkg/coordination/placement/budget.go
+++ b/pkg/coordination/placement/budget.go
@@ -28,19 +28,14 @@
 	return &Budget{perSecond: perSecond, burst: burst, filledAt: start, places: places, lostTerm: lostTerm}
 }
 
-// spareReserve is the part of the burst that spare loads leave to others.
-// Customers within their share then find a right at once although one above
-// its share takes all the rest.
-const spareReserve = 0.5
-
 // TakeLoad takes the right to begin one load and a place in flight.
 func (b *Budget) TakeLoad(now time.Time) bool {
 	return b.take(now, 1)
 }
 
 // TakeSpareLoad implements SpareTaker.
-func (b *Budget) TakeSpareLoad(now time.Time) bool {
-	return b.take(now, max(1, min(b.burst, 1+spareReserve*b.burst)))
+func (b *Budget) TakeSpareLoad(now time.Time, reserve float64) bool {
+	return b.take(now, 1+reserve*max(0, b.burst-1))
 }
 
 func (b *Budget) take(now time.Time, least float64) bool {
--- a/pkg/coordination/placement/demand.go
+++ b/pkg/coordination/placement/demand.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -55,8 +56,8 @@
 	customers map[ids.CustomerID]int
 	// rank is the place in the order of loads; the lowest comes first.
 	rank float64
-	// spare tells that all customers that wait are above their share.
-	spare bool
+	// excess tells how far its customers are above their share of the loads.
+	excess float64
 }
 
 func newDemandBook(term time.Duration) *demandBook {
@@ -152,7 +153,7 @@
 
 // shareMemory is the half-life of the loads that count towards a customer's
 // share. It covers some dozens of loads at an owner's part of the store's rate.
-const shareMemory = 30 * time.Second
+const shareMemory = time.Minute
 
 // charge divides one load among the customers that wait for it.
 func (b *demandBook) charge(now time.Time, n need) {
@@ -179,9 +180,10 @@
 // active when shares are computed.
 const leastRecent = 0.05
 
-// aboveShare tells whether all customers that wait had more than their share of
-// the recent loads, by weight among those that had any.
-func (b *demandBook) aboveShare(now time.Time, n need) bool {
+// excess returns how far above its share of the recent loads the customers of
+// a need are, by weight among those that had any: 0 within the share, 1 at
+// twice the share. The customer that is least above it counts.
+func (b *demandBook) excess(now time.Time, n need) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	loads, weights := 0.0, 0.0
@@ -191,13 +193,16 @@
 			weights += b.weightOf(customer)
 		}
 	}
+	least := math.Inf(1)
 	for customer := range n.customers {
 		recent := b.recent[customer]
-		if recent == nil || recent.read(now, shareMemory)*weights <= loads*b.weightOf(customer) {
-			return false
+		if recent == nil || loads == 0 {
+			return 0
 		}
+		share := loads * b.weightOf(customer) / weights
+		least = min(least, max(0, recent.read(now, shareMemory)/share-1))
 	}
-	return true
+	return least
 }
 
 func (b *demandBook) setWeight(customer ids.CustomerID, weight float64) {
--- a/pkg/coordination/placement/plan.go
+++ b/pkg/coordination/placement/plan.go
@@ -64,9 +64,9 @@
 	}
 	var out []Order
 	for _, n := range p.rank(p.demand.needs(now)) {
-		n.spare = p.demand.aboveShare(now, n)
+		n.excess = p.demand.excess(now, n)
 		order, step := p.planOne(now, n, gate)
-		if step == stepNoRight && !n.spare {
+		if step == stepNoRight && n.excess == 0 {
 			break
 		}
 		if step == stepOrdered {
@@ -166,9 +166,13 @@
 	return p.orders.add(now, Order{Kind: OrderLoad, Endpoint: known.id, Ref: ref, Fence: fence, Boot: known.boot, SendBy: now.Add(p.cfg.SendTerm)}), stepOrdered
 }
 
+// excessReserve is the part of the burst left to others for each unit of
+// excess. A customer at one and a half times its share leaves all but one load.
+const excessReserve = 2.0
+
 func takeRight(now time.Time, n need, gate Gate) bool {
-	if taker, ok := gate.(SpareTaker); ok && n.spare {
-		return taker.TakeSpareLoad(now)
+	if taker, ok := gate.(SpareTaker); ok && n.excess > 0 {
+		return taker.TakeSpareLoad(now, min(1, excessReserve*n.excess))
 	}
 	return gate.TakeLoad(now)
 }
--- a/pkg/coordination/placement/types.go
+++ b/pkg/coordination/placement/types.go
@@ -170,8 +170,8 @@
 // SpareTaker is implemented by gates that keep part of their rights back for
 // customers within their share. A gate without it treats all loads alike.
 type SpareTaker interface {
-	// TakeSpareLoad is called in place of Gate.TakeLoad for a customer that had
-	// more than its share of the loads lately. It succeeds only if rights
-	// remain for others after it.
-	TakeSpareLoad(now time.Time) bool
+	// TakeSpareLoad is called in place of Gate.TakeLoad for customers that had
+	// more than their share of the loads lately. It succeeds only if the given
+	// part of the burst, from 0 to 1, remains for others after it.
+	TakeSpareLoad(now time.Time, reserve float64) bool
 }
