Join engine runs and callers' events by prompt

Cause: engines see the daemon's id of each attempt, not the caller's, so that every run looked foreign. Change: checks join by the unique prompt, and callers also send keys of nobody.

--- a/internal/bench/faults/checks.go
+++ b/internal/bench/faults/checks.go
@@ -90,30 +90,24 @@
 	return found
 }
 
-// eventsByID indexes the events of a run.
-func eventsByID(o *Observations) map[ids.RequestID]Event {
-	byID := make(map[ids.RequestID]Event, len(o.Events))
+// eventsByPrompt indexes the generations of a run. Prompts are unique, while
+// the request id that an engine sees is the daemon's own for each attempt.
+func eventsByPrompt(o *Observations) map[string]Event {
+	byPrompt := make(map[string]Event, len(o.Events))
 	for _, event := range o.Events {
-		byID[event.ID] = event
+		if event.Order == "" {
+			byPrompt[event.Prompt] = event
+		}
 	}
-	return byID
-}
-
-// requestIDLength is the length of the ids that callers of a run use. The
-// daemon appends a mark to it for each attempt.
-const requestIDLength = 36
-
-// callerID returns the caller's part of the id that an endpoint saw.
-func callerID(id ids.RequestID) ids.RequestID {
-	return id[:min(len(id), requestIDLength)]
+	return byPrompt
 }
 
 // eachRun calls visit for each run of an engine that belongs to an event.
 func eachRun(o *Observations, visit func(endpoint ids.EndpointID, run engine.Run, event Event)) {
-	byID := eventsByID(o)
+	byPrompt := eventsByPrompt(o)
 	for endpoint, runs := range o.EngineRuns {
 		for _, run := range runs {
-			if event, known := byID[callerID(run.RequestID)]; known {
+			if event, known := byPrompt[run.Prompt]; known {
 				visit(endpoint, run, event)
 			}
 		}
@@ -144,22 +138,22 @@
 	}
 }
 
-// checkCustomer looks for runs of requests that no caller sent, and for runs
-// with another prompt than the one sent under the id.
+// checkCustomer looks for runs of prompts that no caller sent, or that came
+// with a key of no customer.
 func checkCustomer(o *Observations, r *report) {
-	byID := eventsByID(o)
+	byPrompt := eventsByPrompt(o)
 	for endpoint, runs := range o.EngineRuns {
 		for _, run := range runs {
-			event, known := byID[callerID(run.RequestID)]
-			if !known || event.Prompt != run.Prompt {
-				r.add("%s ran request %q with a prompt that no caller sent under this id", endpoint, run.RequestID)
+			event, known := byPrompt[run.Prompt]
+			if !known || event.Key == wrongKey {
+				r.add("%s ran request %q, which no customer sent", endpoint, run.RequestID)
 			}
 		}
 	}
 }
 
 func checkKeyHidden(o *Observations, r *report) {
-	keys := []string{spareKey}
+	keys := []string{spareKey, wrongKey}
 	for _, customer := range customers {
 		keys = append(keys, keyOf(customer))
 	}
@@ -280,16 +274,21 @@
 }
 
 func checkNotRun(o *Observations, r *report) {
-	byID := eventsByID(o)
 	eachRun(o, func(endpoint ids.EndpointID, _ engine.Run, event Event) {
 		if event.Result == ResultNotRun {
 			r.add("request %s ran on %s and was reported as not run (%s)", event.ID, endpoint, event.Reason)
 		}
 	})
+	mayHaveRun := make(map[string]bool)
+	for _, event := range o.Events {
+		if event.Result != ResultNotRun {
+			mayHaveRun[event.Order] = true
+		}
+	}
 	for endpoint, runs := range o.ServiceRuns {
 		for _, run := range runs {
-			if event, known := byID[callerID(run.RequestID)]; known && event.Result == ResultNotRun {
-				r.add("call %s ran on %s and was reported as not run (%s)", event.ID, endpoint, event.Reason)
+			if !mayHaveRun[run.Body] {
+				r.add("%q ran on %s while all its calls were reported as not run", run.Body, endpoint)
 			}
 		}
 	}
--- a/internal/bench/faults/checks_test.go
+++ b/internal/bench/faults/checks_test.go
@@ -57,7 +57,8 @@
 		{PromiseNoEvict, "eviction", func(o *Observations) {
 			o.Violations["e"] = []engine.Violation{{Kind: engine.ViolationEvictedServing}}
 		}},
-		{PromiseCustomer, "run without a caller", func(o *Observations) { o.EngineRuns["e"][0].RequestID = "x" }},
+		{PromiseCustomer, "run without a caller", func(o *Observations) { o.EngineRuns["e"][0].Prompt = "x" }},
+		{PromiseCustomer, "run with the key of nobody", func(o *Observations) { o.Events[0].Key = wrongKey }},
 		{PromiseKeyHidden, "key in a header", func(o *Observations) {
 			o.EngineRuns["e"][0].Header = http.Header{"X": {"Bearer " + spareKey}}
 		}},
--- a/internal/bench/faults/cluster.go
+++ b/internal/bench/faults/cluster.go
@@ -215,6 +215,8 @@
 const (
 	spareKey   = "sk-spare-key-0d93b8e1"
 	spareKeyID = "spare"
+	// wrongKey belongs to no customer.
+	wrongKey = "sk-wrong-key-7be20c55"
 )
 
 func (c *cluster) publishRecords() {
--- a/internal/bench/faults/workload.go
+++ b/internal/bench/faults/workload.go
@@ -94,6 +94,7 @@
 	defaultShare = 30
 	tightShare   = 40
 	spareShare   = 10
+	wrongShare   = 5
 	percent      = 100
 )
 
@@ -183,6 +184,9 @@
 	case draw < tightShare+spareShare:
 		event.Customer = otherCustomer
 		event.Key = spareKey
+	case draw < tightShare+spareShare+wrongShare:
+		event.Customer = otherCustomer
+		event.Key = wrongKey
 	}
 	if rng.IntN(percent) >= defaultShare {
 		event.Version = 1 + ids.AdapterVersion(rng.Uint64N(uint64(w.newestVersion())))
