--- a/internal/bench/faults/checks_test.go
+++ b/internal/bench/faults/checks_test.go
@@ -111,6 +111,17 @@
 	}
 }
 
+// Guards against findings on changes that no VM could read, and against
+// passing over changes that VMs could read again after an outage.
+func TestOutageMovesTheBoundOfAWithdrawal(t *testing.T) {
+	observed := goodRun()
+	observed.Withdrawals = []Withdrawal{{At: at(-10), Key: spareKey}}
+	observed.Outages = []Outage{{From: at(-11), Until: at(-4)}}
+	assert.Equal(t, len(Check(observed)), 0)
+	observed.Outages = []Outage{{From: at(-11), Until: at(-6)}}
+	assert.Equal(t, len(Check(observed)), 1)
+}
+
 // Guards against a window check that misses excess inside a long history.
 func TestLargestExcessFindsTheWorstWindow(t *testing.T) {
 	spent := []spend{{at(0), 10}, {at(100), 10}, {at(100.5), 10}, {at(200), 5}}
--- a/internal/bench/faults/observe.go
+++ b/internal/bench/faults/observe.go
@@ -60,8 +60,23 @@
 	Isolated map[ids.VMID]bool
 	// Fencing tells which engines refuse old fencing tokens.
 	Fencing map[ids.EndpointID]bool
-	// PlatformStopped tells that the platform gave no new records for a while.
-	PlatformStopped bool
+	// Outages lists when the platform gave no new records to any VM.
+	Outages []Outage
+}
+
+// Outage is a time in which the platform gave no new records.
+type Outage struct {
+	From, Until time.Time
+}
+
+// visibleFrom returns when a change could first be read by any VM.
+func (o *Observations) visibleFrom(at time.Time) time.Time {
+	for _, outage := range o.Outages {
+		if !at.Before(outage.From) && at.Before(outage.Until) {
+			return outage.Until
+		}
+	}
+	return at
 }
 
 // observer samples the VMs and notes what the run does.
@@ -115,10 +130,10 @@
 	o.result.Drains = append(o.result.Drains, Drain{VM: vm, At: time.Now()})
 }
 
-func (o *observer) platformStopped() {
+func (o *observer) outage(from, until time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.result.PlatformStopped = true
+	o.result.Outages = append(o.result.Outages, Outage{From: from, Until: until})
 }
 
 // finish gathers what the stand-ins recorded and what the VMs show.
