--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -8,7 +8,10 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/faults"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/path"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/placement"
 )
 
 func main() {
@@ -28,6 +31,9 @@
 // experiments lists the subcommands, one for each package below internal/bench.
 func experiments() []*cobra.Command {
 	return []*cobra.Command{
+		config.Command(),
 		faults.Command(),
+		path.Command(),
+		placement.Command(),
 	}
 }
