--- a/internal/bench/faults/cluster.go
+++ b/internal/bench/faults/cluster.go
@@ -344,12 +344,6 @@
 	c.isolated[p.vm] = true
 }
 
-func (c *cluster) isIsolated(vm ids.VMID) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isolated[vm]
-}
-
 var errNotReady = errors.New("a VM did not get ready in time")
 
 func (c *cluster) waitReady() error {
--- a/internal/bench/faults/command.go
+++ b/internal/bench/faults/command.go
@@ -15,7 +15,6 @@
 	"strings"
 	"sync"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 )
@@ -286,6 +285,3 @@
 	slices.Sort(parts)
 	return strings.Join(parts, ", ")
 }
-
-// runBound bounds one run in tests.
-const runBound = 90 * time.Second
