--- a/pkg/ctl/demo/steps.go
+++ b/pkg/ctl/demo/steps.go
@@ -34,6 +34,8 @@
 	{"a new adapter version", newVersion},
 	{"a withdrawn key", withdrawnKey},
 	{"a customer above its rate", rateLimit},
+	{"an engine that restarts cold under load", engineRestart},
+	{"a VM killed under load and replaced", vmKilled},
 	{"a VM drained under load", drainUnderLoad},
 	{"what the endpoints and the logs saw", whatEndpointsSaw},
 }
@@ -154,13 +156,16 @@
 	v.check("closed route", closed.status == http.StatusUnauthorized && closed.outcome == "NOT_RUN", "status %d %s without a key", closed.status, closed.outcome)
 }
 
-// callPatiently repeats a call that was refused as not run.
+// callPatiently repeats a keyed call that was refused as not run, or whose key
+// is still in use: the homes of a key learn the end of a call shortly after
+// its caller has the answer.
 func (w *world) callPatiently(ctx context.Context, via *vm, c call) callResult {
 	deadline := time.Now().Add(requestTimeout)
 	for {
 		r := w.call(ctx, via, c)
-		again := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
-		if !again || r.outcome != "NOT_RUN" || time.Now().After(deadline) || ctx.Err() != nil {
+		refused := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
+		again := refused && r.outcome == "NOT_RUN" || r.reason == "IDEMPOTENCY_IN_PROGRESS"
+		if !again || time.Now().After(deadline) || ctx.Err() != nil {
 			return r
 		}
 		time.Sleep(minRetryPause)
@@ -241,7 +246,7 @@
 	ctx, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
 	start := time.Now()
-	var tokens, answered, refused, wrong atomic.Int64
+	var tokens, answered, refused, late, wrong atomic.Int64
 	var failure firstError
 	parallel(requests, 24, func(i int) {
 		if ctx.Err() != nil {
@@ -259,6 +264,7 @@
 		case r.reason() == inferencev1.Reason_REASON_RATE_EXCEEDED && r.notRun():
 			refused.Add(1)
 		case connect.CodeOf(r.err) == connect.CodeDeadlineExceeded || ctx.Err() != nil:
+			late.Add(1)
 		default:
 			wrong.Add(1)
 			failure.note("%v", r.err)
@@ -267,8 +273,91 @@
 	elapsed := time.Since(start)
 	bound := smallBurst + float64(smallTokensPerMinute)/60*elapsed.Seconds()
 	v.check("rate and burst", float64(tokens.Load()) <= bound && refused.Load() > 0 && answered.Load() > 0 && wrong.Load() == 0,
-		"%d answers with %d tokens in %.1f s (allowed %.0f over all VMs), %d refused as RATE_EXCEEDED, %d other failures%s",
-		answered.Load(), tokens.Load(), elapsed.Seconds(), bound, refused.Load(), wrong.Load(), failure.text)
+		"%d answers with %d tokens in %.1f s (allowed %.0f over all VMs), %d refused as RATE_EXCEEDED, %d not answered within 1 s, %d other failures%s",
+		answered.Load(), tokens.Load(), elapsed.Seconds(), bound, refused.Load(), late.Load(), wrong.Load(), failure.text)
+}
+
+// tally counts how requests under a fault ended.
+type tally struct {
+	whole, unknown, broken, wrong, refused atomic.Int64
+	failure                                firstError
+}
+
+// count adds the result of one request.
+func (t *tally) count(via *vm, a ask, r result) {
+	switch {
+	case r.matches(a, 1):
+		t.whole.Add(1)
+	case r.err == nil:
+		t.wrong.Add(1)
+		t.failure.note("%s via %s: answer of %s: %q", a.adapter, via.id(), r.ref, r.text)
+	case r.notRun():
+		t.refused.Add(1)
+		t.failure.note("%s via %s: %v", a.adapter, via.id(), r.err)
+	case r.outcome != nil:
+		t.unknown.Add(1)
+	default:
+		t.broken.Add(1)
+	}
+}
+
+// mixedLoad sends unary and streaming requests through the VMs, and runs the
+// fault soon after the first ones have started.
+func (w *world) mixedLoad(ctx context.Context, name string, requests int, fault func()) *tally {
+	var t tally
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(4 * firstTokenTime)
+		fault()
+	})
+	via := append([]*vm(nil), w.vms...)
+	parallel(requests, 12, func(i int) {
+		a := ask{
+			key: w.keys["large-1"], adapter: adapterName(1 + i%(adapters-1)), version: 1,
+			prompt: fmt.Sprintf("%s %d", name, i), maxTokens: 40, stream: i%2 == 0,
+		}
+		t.count(via[i%len(via)], a, via[i%len(via)].send(ctx, a))
+	})
+	group.Wait()
+	return &t
+}
+
+func engineRestart(ctx context.Context, w *world, v *verdict) {
+	const requests = 72
+	restarted := w.engines[0]
+	t := w.mixedLoad(ctx, "restart", requests, restarted.Restart)
+	v.check("engine restart", t.wrong.Load() == 0 && t.broken.Load() == 0 && t.refused.Load() == 0 && t.whole.Load() > 0,
+		"%s restarted; %d of %d answers whole, %d streams ended as UNKNOWN, %d wrong, %d refused, %d without an outcome%s",
+		restarted.id, t.whole.Load(), requests, t.unknown.Load(), t.wrong.Load(), t.refused.Load(), t.broken.Load(), t.failure.text)
+}
+
+func vmKilled(ctx context.Context, w *world, v *verdict) {
+	const requests, victim = 72, 1
+	killed := w.vms[victim]
+	t := w.mixedLoad(ctx, "kill", requests, killed.process.kill)
+	// Requests through the killed VM break without an outcome: a quarter of
+	// all at most. No other request may.
+	v.check("VM killed", t.wrong.Load() == 0 && t.refused.Load() == 0 && t.broken.Load() <= int64(requests/len(w.vms)),
+		"%s killed; %d of %d answers whole, %d broken connections, %d ended as UNKNOWN, %d wrong, %d refused%s",
+		killed.id(), t.whole.Load(), requests, t.broken.Load(), t.unknown.Load(), t.wrong.Load(), t.refused.Load(), t.failure.text)
+
+	replacement, err := w.replaceVM(ctx, victim)
+	if err != nil {
+		v.check("VM replaced", false, "%v", err)
+		return
+	}
+	served := 0
+	var failure firstError
+	for i := range adapters - 1 {
+		a := ask{key: w.keys["large-1"], adapter: adapterName(1 + i), version: 1, prompt: "replaced", maxTokens: 4}
+		r := replacement.send(ctx, a)
+		if r.matches(a, 1) {
+			served++
+			continue
+		}
+		failure.note("%s: %v", a.adapter, r.err)
+	}
+	v.check("VM replaced", served == adapters-1, "%s serves %d of %d adapters%s", replacement.id(), served, adapters-1, failure.text)
 }
 
 func drainUnderLoad(ctx context.Context, w *world, v *verdict) {
