--- a/pkg/daemon/acks.go
+++ b/pkg/daemon/acks.go
@@ -39,9 +39,9 @@
 }
 
 // heard takes a VM's own word and the limits part of its heartbeat.
-func (b *appliedBook) heard(beat peer.Heartbeat) {
+func (b *appliedBook) heard(now time.Time, beat peer.Heartbeat) {
 	limits := b.daemon.tokens.table
-	limits.ObserveApplied(beat.From, beat.Digest.Records)
+	limits.ObserveApplied(now, beat.From, beat.Digest.Records)
 	list := b.daemon.members.List()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -60,7 +60,7 @@
 	}
 	for _, vm := range list.VMs {
 		if revision := max(parts.All, b.dataCentres[vm.DataCentre]); revision > 0 && vm.ID != b.daemon.settings.VMID {
-			limits.ObserveApplied(vm.ID, revision)
+			limits.ObserveApplied(now, vm.ID, revision)
 		}
 	}
 }
--- a/pkg/daemon/records.go
+++ b/pkg/daemon/records.go
@@ -54,7 +54,7 @@
 		d.applyLimits(now, applied.Changed)
 	}
 	through := d.catalog.Through()
-	d.tokens.table.ObserveApplied(d.settings.VMID, through)
+	d.tokens.table.ObserveApplied(now, d.settings.VMID, through)
 	d.through.Store(uint64(through))
 	if kinds[records.KindEndpoint] {
 		d.retainEndpoints()
