--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -9,6 +9,10 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/faults"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/limits"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/path"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/placement"
 )
 
 func main() {
@@ -29,5 +33,9 @@
 func experiments() []*cobra.Command {
 	return []*cobra.Command{
 		config.Command(),
+		faults.Command(),
+		limits.Command(),
+		path.Command(),
+		placement.Command(),
 	}
 }
--- a/pkg/coordination/placement/demand.go
+++ b/pkg/coordination/placement/demand.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -29,10 +30,21 @@
 	mu      sync.Mutex
 	term    time.Duration
 	entries map[demandKey]map[waiterKey]waiters
-	// served is, per customer, the loads begun for it. The customer with the
+	// served is, per customer, the loads begun for it by its weight. The customer with the
 	// fewest comes first, so that one with many cold adapters cannot take all
 	// loads from the others.
-	served map[ids.CustomerID]float64
+	served  map[ids.CustomerID]float64
+	weights map[ids.CustomerID]float64
+	// recent counts the loads of the last while, to see who is above its share.
+	recent map[ids.CustomerID]*decaying
+	// told finds the endpoint of a pair's latest demand: demand that moves to
+	// another endpoint counts there only.
+	told map[toldKey]ids.EndpointID
+}
+
+type toldKey struct {
+	who waiterKey
+	ref ids.AdapterRef
 }
 
 // need is the summed demand for one load.
@@ -42,6 +54,10 @@
 	since    time.Time
 	// customers are those that wait, with their requests.
 	customers map[ids.CustomerID]int
+	// rank is the place in the order of loads; the lowest comes first.
+	rank float64
+	// excess tells how far its customers are above their share of the loads.
+	excess float64
 }
 
 func newDemandBook(term time.Duration) *demandBook {
@@ -49,6 +65,9 @@
 		term:    term,
 		entries: make(map[demandKey]map[waiterKey]waiters),
 		served:  make(map[ids.CustomerID]float64),
+		weights: make(map[ids.CustomerID]float64),
+		recent:  make(map[ids.CustomerID]*decaying),
+		told:    make(map[toldKey]ids.EndpointID),
 	}
 }
 
@@ -57,19 +76,28 @@
 	defer b.mu.Unlock()
 	key := demandKey{endpoint: w.Endpoint, ref: w.Ref}
 	who := waiterKey{sender: w.Sender, customer: w.Customer}
+	pair := toldKey{who: who, ref: w.Ref}
+	if before, ok := b.told[pair]; ok && (before != w.Endpoint || w.Requests <= 0) {
+		b.remove(demandKey{endpoint: before, ref: w.Ref}, who)
+	}
 	if w.Requests <= 0 {
-		delete(b.entries[key], who)
-		if len(b.entries[key]) == 0 {
-			delete(b.entries, key)
-		}
 		return
 	}
+	b.told[pair] = w.Endpoint
 	if b.entries[key] == nil {
 		b.entries[key] = make(map[waiterKey]waiters)
 	}
 	b.entries[key][who] = waiters{requests: w.Requests, since: now.Add(-w.Oldest), toldAt: now}
 }
 
+func (b *demandBook) remove(key demandKey, who waiterKey) {
+	delete(b.told, toldKey{who: who, ref: key.ref})
+	delete(b.entries[key], who)
+	if len(b.entries[key]) == 0 {
+		delete(b.entries, key)
+	}
+}
+
 // needs returns the demand in force and drops what was not told again in time.
 func (b *demandBook) needs(now time.Time) []need {
 	b.mu.Lock()
@@ -80,7 +108,7 @@
 		n := need{key: key, customers: make(map[ids.CustomerID]int)}
 		for who, w := range all {
 			if now.Sub(w.toldAt) > b.term {
-				delete(all, who)
+				b.remove(key, who)
 				continue
 			}
 			n.requests += w.requests
@@ -91,7 +119,6 @@
 			}
 		}
 		if n.requests == 0 {
-			delete(b.entries, key)
 			continue
 		}
 		out = append(out, n)
@@ -124,26 +151,91 @@
 	}
 }
 
+// shareMemory is the half-life of the loads that count towards a customer's
+// share. It covers some dozens of loads at an owner's part of the store's rate.
+const shareMemory = time.Minute
+
 // charge divides one load among the customers that wait for it.
-func (b *demandBook) charge(n need) {
+func (b *demandBook) charge(now time.Time, n need) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for customer, requests := range n.customers {
-		b.served[customer] += float64(requests) / float64(n.requests)
+		part := float64(requests) / float64(n.requests)
+		b.served[customer] += part / b.weightOf(customer)
+		if b.recent[customer] == nil {
+			b.recent[customer] = &decaying{}
+		}
+		b.recent[customer].add(now, part, shareMemory)
+	}
+}
+
+func (b *demandBook) weightOf(customer ids.CustomerID) float64 {
+	if weight, ok := b.weights[customer]; ok {
+		return weight
 	}
+	return 1
 }
 
-func (b *demandBook) servedOf(customer ids.CustomerID) float64 {
+// leastRecent is the number of recent loads from which a customer counts as
+// active when shares are computed.
+const leastRecent = 0.05
+
+// excess returns how far above its share of the recent loads the customers of
+// a need are, by weight among those that had any: 0 within the share, 1 at
+// twice the share. The customer that is least above it counts.
+func (b *demandBook) excess(now time.Time, n need) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.served[customer]
+	loads, weights := 0.0, 0.0
+	for customer, recent := range b.recent {
+		if value := recent.read(now, shareMemory); value > leastRecent {
+			loads += value
+			weights += b.weightOf(customer)
+		}
+	}
+	least := math.Inf(1)
+	for customer := range n.customers {
+		recent := b.recent[customer]
+		if recent == nil || loads == 0 {
+			return 0
+		}
+		share := loads * b.weightOf(customer) / weights
+		least = min(least, max(0, recent.read(now, shareMemory)/share-1))
+	}
+	return least
+}
+
+func (b *demandBook) setWeight(customer ids.CustomerID, weight float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if weight > 0 {
+		b.weights[customer] = weight
+	}
+}
+
+// leastServed returns, for each need, the service of its least served customer.
+func (b *demandBook) leastServed(needs []need) []float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]float64, len(needs))
+	for i, n := range needs {
+		first := true
+		for customer := range n.customers {
+			if served := b.served[customer]; first || served < out[i] {
+				out[i], first = served, false
+			}
+		}
+	}
+	return out
 }
 
 // drop removes the demand for a load that has been carried out.
 func (b *demandBook) drop(key demandKey) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.entries, key)
+	for who := range b.entries[key] {
+		b.remove(key, who)
+	}
 }
 
 // count returns the requests that wait for an adapter version on an endpoint.
--- a/pkg/daemon/generate.go
+++ b/pkg/daemon/generate.go
@@ -120,7 +120,7 @@
 func (g *generation) attempts(ctx context.Context) (callers.Generated, *callers.Refusal) {
 	for {
 		assigned := g.queue.wait(ctx, fairqueue.Item{
-			ID:       g.daemon.nextAttempt(),
+			ID:       g.daemon.nextAttempt(g.asked.Request),
 			Customer: g.asked.Identity.Customer,
 			Ref:      g.ref,
 			Cost:     g.cost,
@@ -136,7 +136,7 @@
 		}
 		g.daemon.noteFailure(failure, assigned, g.ref)
 		if !decision.Retry {
-			return callers.Generated{}, g.ended(decision, failure)
+			return callers.Generated{}, g.ended(failure)
 		}
 		g.queue.queue.Settle(g.asked.Identity.Customer, g.cost)
 		g.request.Tried = append(g.request.Tried, decision.AvoidEndpoint)
@@ -155,7 +155,7 @@
 	g.daemon.committed.Add(1)
 	endpoint := engines.Endpoint{ID: assigned.candidate.Endpoint, Address: assigned.candidate.Record.Address}
 	answer, failure := g.daemon.engines.Complete(ctx, endpoint, engines.Completion{
-		Attempt:   g.daemon.nextAttempt(),
+		Attempt:   g.daemon.nextAttempt(g.asked.Request),
 		Model:     g.ref,
 		Prompt:    g.asked.Prompt,
 		MaxTokens: g.asked.MaxTokens,
@@ -215,12 +215,8 @@
 }
 
 // ended builds the refusal of a request whose last attempt failed.
-func (g *generation) ended(decision lifecycle.Decision, failure *engines.Failure) *callers.Refusal {
+func (g *generation) ended(failure *engines.Failure) *callers.Refusal {
 	outcome, reason, retryAfter := g.state.Ending()
-	if outcome == lifecycle.OutcomePending {
-		decision = g.state.Abandon()
-		outcome, reason = decision.Outcome, decision.Reason
-	}
 	return refusalOfFailure(outcome, reason, retryAfter, failure)
 }
 
--- a/pkg/transport/callers/passthrough.go
+++ b/pkg/transport/callers/passthrough.go
@@ -30,6 +30,7 @@
 // passThrough serves routes of kind service.
 type passThrough struct {
 	backend Backend
+	bounds  Bounds
 }
 
 func (p *passThrough) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -70,12 +71,13 @@
 		return call, NotRun(inferencev1.Reason_REASON_ROUTE_UNKNOWN, "no route serves this path")
 	}
 	call.RouteID, call.Route = id, route
+	limitWrites(w, time.Duration(route.TimeoutMillis)*time.Millisecond)
 	identity, key, refusal := authenticate(p.backend, r.Header, route.Open)
 	if refusal != nil {
 		return call, refusal
 	}
 	call.Identity = identity
-	if call.Body, refusal = readBody(w, r); refusal != nil {
+	if call.Body, refusal = readBody(w, r, p.bounds.BodyBytes); refusal != nil {
 		return call, refusal
 	}
 	call.Header = forwardedHeader(r.Header, key)
@@ -118,8 +120,9 @@
 	if key == "" {
 		return nil
 	}
-	if strings.Contains(call.Target, key) || bytes.Contains(call.Body, []byte(key)) {
-		return NotRun(inferencev1.Reason_REASON_MALFORMED, "the path or body contains the caller's key, which endpoints must not see")
+	inName := strings.Contains(string(call.Request), key) || strings.Contains(call.Target, key)
+	if inName || bytes.Contains(call.Body, []byte(key)) {
+		return NotRun(inferencev1.Reason_REASON_MALFORMED, "the request id, path or body contains the caller's key, which endpoints must not see")
 	}
 	return nil
 }
--- a/pkg/transport/callers/server.go
+++ b/pkg/transport/callers/server.go
@@ -25,14 +25,15 @@
 
 // Bounds of a caller's request.
 const (
-	// MaxBodyBytes bounds request bodies.
-	MaxBodyBytes = 1 << 20
 	// bodyTimeout bounds the time in which a caller sends its body, so that
 	// slow senders do not hold memory for long.
 	bodyTimeout       = 10 * time.Second
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxRequestIDBytes = 128
+	// compressMinBytes keeps short answers uncompressed: compressing them took
+	// a third of the handler's CPU time and saves no packet.
+	compressMinBytes = 16 << 10
 )
 
 // Headers of answers.
@@ -54,13 +55,30 @@
 // connect-go accepts.
 var encodingHeaders = []string{"Content-Encoding", "Connect-Content-Encoding", "Grpc-Encoding"}
 
+// Bounds limits what one request may take.
+type Bounds struct {
+	// BodyBytes is the largest request body.
+	BodyBytes int64
+	// Request is the longest time of a model request.
+	Request time.Duration
+}
+
+// writeSlack is how long after its deadline a request may still write its
+// answer. A caller that stops reading must not hold a request for ever.
+const writeSlack = 10 * time.Second
+
+// limitWrites bounds the time in which an answer must be written.
+func limitWrites(w http.ResponseWriter, request time.Duration) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(request + writeSlack))
+}
+
 // NewServer returns the HTTP server of the caller port.
-func NewServer(backend Backend) *http.Server {
+func NewServer(backend Backend, bounds Bounds) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           NewHandler(backend),
+		Handler:           NewHandler(backend, bounds),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		Protocols:         protocols,
@@ -68,14 +86,15 @@
 }
 
 // NewHandler returns the handler of the caller port.
-func NewHandler(backend Backend) http.Handler {
+func NewHandler(backend Backend, bounds Bounds) http.Handler {
 	path, service := inferencev1connect.NewInferenceServiceHandler(
 		&inference{backend: backend},
 		connect.WithCodec(newCodec("proto")),
 		connect.WithCodec(newCodec("json")),
+		connect.WithCompressMinBytes(compressMinBytes),
 	)
-	model := &bounded{next: service, errors: connect.NewErrorWriter()}
-	plain := &passThrough{backend: backend}
+	model := &bounded{next: service, errors: connect.NewErrorWriter(), bounds: bounds}
+	plain := &passThrough{backend: backend, bounds: bounds}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(HeaderViewAge, strconv.FormatFloat(backend.ViewAge().Seconds(), 'f', 3, 64))
 		// http.ServeMux would answer some paths with redirects of its own.
@@ -92,10 +111,12 @@
 type bounded struct {
 	next   http.Handler
 	errors *connect.ErrorWriter
+	bounds Bounds
 }
 
 func (b *bounded) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, refusal := readBody(w, r)
+	limitWrites(w, b.bounds.Request)
+	body, refusal := readBody(w, r, b.bounds.BodyBytes)
 	if refusal == nil {
 		refusal = checkHeader(r.Header)
 	}
@@ -121,15 +142,15 @@
 	return nil
 }
 
-// readBody reads at most MaxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Refusal) {
+// readBody reads a body of at most the given size.
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, *Refusal) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, NotRun(inferencev1.Reason_REASON_BODY_TOO_LARGE, "body is larger than %d bytes", MaxBodyBytes)
+		return nil, NotRun(inferencev1.Reason_REASON_BODY_TOO_LARGE, "body is larger than %d bytes", most)
 	}
 	if err != nil {
 		return nil, NotRun(inferencev1.Reason_REASON_MALFORMED, "body could not be read")
