--- a/pkg/coordination/limits/admit.go
+++ b/pkg/coordination/limits/admit.go
@@ -65,7 +65,10 @@
 	need := cost * micro
 	if len(b.waiting) == 0 && need <= b.level {
 		decision := Decision{Verdict: Granted, Charge: t.charge(sh, b, s, at, need)}
-		t.askAhead(sh, b, s, at, &decision.Outcome)
+		if at-b.lastAdmit < int64(aheadWithin) {
+			t.askAhead(sh, b, s, at, &decision.Outcome)
+		}
+		b.lastAdmit = at
 		return decision
 	}
 	if len(b.waiting) >= t.cfg.MaxWaiting {
@@ -75,6 +78,7 @@
 	if end <= at {
 		return t.refuse(sh, ReasonOverRate, t.retryAfter(b, need))
 	}
+	b.lastAdmit = at
 	if len(b.waiting) == 0 {
 		b.busySince = at
 	}
--- a/pkg/coordination/limits/bucket.go
+++ b/pkg/coordination/limits/bucket.go
@@ -41,6 +41,8 @@
 	hints   map[ids.VMID]hint
 	// busySince is the time of the oldest wait since the queue was empty.
 	busySince int64
+	// lastAdmit is the time of the last admission.
+	lastAdmit int64
 	// nextAhead is the earliest time of the next ask ahead of need.
 	nextAhead int64
 	// cursor rotates the first peer that is asked.
--- a/pkg/coordination/limits/gather.go
+++ b/pkg/coordination/limits/gather.go
@@ -24,6 +24,9 @@
 	// between two such asks.
 	aheadNum, aheadDen = 3, 4
 	aheadPause         = 50 * time.Millisecond
+	// aheadWithin is the time since the admission before in which a customer
+	// counts as busy on this VM; the own rate serves a rarer one.
+	aheadWithin = 2 * time.Second
 	// minWake keeps wake-ups apart.
 	minWake = time.Millisecond
 	// farScan bounds the peers of other data centres looked at per decision.
--- a/pkg/coordination/limits/rules_test.go
+++ b/pkg/coordination/limits/rules_test.go
@@ -240,6 +240,7 @@
 func TestEmptyPeerIsNotAskedBeforeItsTime(t *testing.T) {
 	p := newPair(t, limits.AllRules())
 	p.take(p.a)
+	p.admit(p.b, 100)
 	ahead := p.take(p.b).Outcome.Asks
 	assert.Equal(t, len(ahead), 1)
 	p.deliver(p.b, p.a.Lend(p.now, ahead[0].Request))
