Refuse keys that a home may have forgotten

Raising a route's window made keys acceptable again whose claims the homes had dropped under the shorter one, and the call ran twice. A home now keeps for each route when the newest forgotten claim was granted. The scenario fails with the rule off.

--- a/pkg/coordination/idempotency/home.go
+++ b/pkg/coordination/idempotency/home.go
@@ -36,6 +36,9 @@
 	coverage bool
 	// sameHomes compares the home sets of claimer and home.
 	sameHomes bool
+	// forgottenMark refuses keys that may be among those that the home has
+	// forgotten, as after a route's window was raised.
+	forgottenMark bool
 	// listNotBehind refuses a claimer whose list is newer than the home's.
 	listNotBehind bool
 }
@@ -51,8 +54,11 @@
 
 	claims   *shard.Map[peer.IdempotencyKey, claim]
 	released *shard.Map[peer.ClaimID, time.Time]
-	count    atomic.Int64
-	stored   atomic.Int64
+	// forgotten tells for each route when the newest claim was granted that
+	// has been forgotten.
+	forgotten *shard.Map[ids.RouteID, time.Time]
+	count     atomic.Int64
+	stored    atomic.Int64
 
 	mu           sync.RWMutex
 	regions      Regions
@@ -63,6 +69,7 @@
 	id      peer.ClaimID
 	digest  string
 	state   peer.ClaimState
+	granted time.Time
 	expires time.Time
 	answer  *peer.StoredAnswer
 }
@@ -70,13 +77,14 @@
 // NewHome returns the empty memory of a VM that started at start.
 func NewHome(boot ids.BootID, start time.Time, members *membership.Members) *Home {
 	return &Home{
-		rules:    homeRules{coverage: true, sameHomes: true, listNotBehind: true},
-		self:     members.Self(),
-		boot:     boot,
-		start:    start,
-		members:  members,
-		claims:   shard.New[peer.IdempotencyKey, claim](claimShards),
-		released: shard.New[peer.ClaimID, time.Time](claimShards),
+		rules:     homeRules{coverage: true, sameHomes: true, forgottenMark: true, listNotBehind: true},
+		self:      members.Self(),
+		boot:      boot,
+		start:     start,
+		members:   members,
+		claims:    shard.New[peer.IdempotencyKey, claim](claimShards),
+		released:  shard.New[peer.ClaimID, time.Time](claimShards),
+		forgotten: shard.New[ids.RouteID, time.Time](1),
 	}
 }
 
@@ -125,9 +133,12 @@
 			return held, true
 		}
 		if found {
-			h.discount(held)
+			h.forget(request.Key.Route, held)
 		}
 		reply.Status = refusal
+		if refusal == peer.ClaimGranted && h.mayBeForgotten(now, request.Key, window) {
+			reply.Status = peer.ClaimNotCovered
+		}
 		if _, gone := h.released.Get(request.ID); gone {
 			reply.Status = peer.ClaimReleased
 		}
@@ -139,6 +150,7 @@
 			id:      request.ID,
 			digest:  request.BodyDigest,
 			state:   peer.ClaimStateClaimed,
+			granted: now,
 			expires: now.Add(retention(window)),
 		}, true
 	})
@@ -171,13 +183,7 @@
 	if !live {
 		return false
 	}
-	firstUse, dated := CreatedAt(request.Key.Key)
-	if dated {
-		firstUse = firstUse.Add(-MaxClockSkew)
-	} else {
-		firstUse = now.Add(-window - CommitTerm)
-	}
-	reach := firstUse.Add(-newHomeMargin)
+	reach := firstUse(now, request.Key.Key, window).Add(-newHomeMargin)
 	for _, start := range []time.Time{h.start, h.members.HistoryStart(), selfSince, regionsSince} {
 		if start.IsZero() || start.After(reach) {
 			return false
@@ -188,6 +194,25 @@
 	return slices.Contains(Homes(request.Key, request.Region, union, regions), h.self)
 }
 
+// mayBeForgotten tells whether an earlier claim of a key may be among those
+// that the home has forgotten. Within one window that cannot be, for claims
+// are kept longer; a route's window may have been raised since.
+func (h *Home) mayBeForgotten(now time.Time, key peer.IdempotencyKey, window time.Duration) bool {
+	mark, any := h.forgotten.Get(key.Route)
+	return any && h.rules.forgottenMark && !firstUse(now, key.Key, window).After(mark)
+}
+
+// forget drops the claim of a key of a route after its time.
+func (h *Home) forget(route ids.RouteID, held claim) {
+	h.discount(held)
+	h.forgotten.Update(route, func(mark time.Time, _ bool) (time.Time, bool) {
+		if held.granted.After(mark) {
+			return held.granted, true
+		}
+		return mark, true
+	})
+}
+
 // describe answers a claim of a key that is claimed already.
 func describe(reply peer.ClaimReply, held claim, request peer.Claim) peer.ClaimReply {
 	if held.digest != request.BodyDigest {
@@ -277,10 +302,10 @@
 // Expire forgets claims and released ids whose time is over. It is called
 // every few seconds.
 func (h *Home) Expire(now time.Time) {
-	h.claims.Sweep(func(_ peer.IdempotencyKey, held claim) bool {
+	h.claims.Sweep(func(key peer.IdempotencyKey, held claim) bool {
 		keep := now.Before(held.expires)
 		if !keep {
-			h.discount(held)
+			h.forget(key.Route, held)
 		}
 		return keep
 	})
--- a/pkg/coordination/idempotency/key.go
+++ b/pkg/coordination/idempotency/key.go
@@ -71,6 +71,15 @@
 	return keyCurrent
 }
 
+// firstUse returns a moment before which a key that is within its window was
+// not claimed, or only so long before that the claim does not count any more.
+func firstUse(now time.Time, key string, window time.Duration) time.Time {
+	if created, dated := CreatedAt(key); dated {
+		return created.Add(-MaxClockSkew)
+	}
+	return now.Add(-window - CommitTerm)
+}
+
 // retention is how long a home keeps a claim. A UUIDv7 key is granted at most
 // MaxClockSkew before its creation time by the clock of another VM, and is
 // refused as expired a window after it; CommitTerm covers a claimer that
--- a/pkg/coordination/idempotency/rules_test.go
+++ b/pkg/coordination/idempotency/rules_test.go
@@ -231,6 +231,29 @@
 	return count(ran, runs(now, second))
 }
 
+// raisedWindow: a call runs under a short window, the homes forget it, and a
+// longer window makes its key acceptable again.
+func raisedWindow(t *testing.T, off func(*homeRules, *claimerRules)) int {
+	list := listOf(1, "a1", "b1", "c1")
+	vms := map[ids.VMID]*testVM{}
+	for _, vm := range list.VMs {
+		vms[vm.ID] = newTestVM(vm.ID, "1", testStart, off)
+		vms[vm.ID].members.ObserveList(testStart, list, testStart)
+	}
+	now := testStart.Add(time.Hour)
+	confirm(vms, now, 1)
+	call := callOf(keyAt(t, now, 0))
+	call.Window = time.Second
+	first := claimAt(now, vms["a1"], call, vms)
+	ran := runs(now, first)
+	now = now.Add(time.Minute)
+	confirm(vms, now, 1)
+	vms["a1"].home.Expire(now)
+	call.Window = 10 * time.Minute
+	second := claimAt(now, vms["b1"], call, vms)
+	return count(ran, runs(now, second))
+}
+
 // Guards against a second run of one key. Each scenario shows with one rule
 // off the doubled run that the rule prevents.
 func TestEachRulePreventsADoubledRun(t *testing.T) {
@@ -243,6 +266,7 @@
 		{"home set comparison", frozenMajority, func(h *homeRules, c *claimerRules) { h.sameHomes, c.sameHomes = false, false }},
 		{"three of three when unconfirmed", frozenMajority, func(_ *homeRules, c *claimerRules) { c.allWhenUnconfirmed = false }},
 		{"commit term", sleepingClaimer, func(_ *homeRules, c *claimerRules) { c.commitTerm = false }},
+		{"forgotten mark", raisedWindow, func(h *homeRules, _ *claimerRules) { h.forgottenMark = false }},
 		{"list not behind", laggingHome, func(h *homeRules, _ *claimerRules) { h.listNotBehind = false }},
 	}
 	for _, test := range tests {
