Count a platform answer as stale against what was held when asked

A peer may bring a newer revision while a watch is on its way; the answer then counted as stale and delayed the next watch. The relay now compares with the revision held when the read was sent. A new test with 40 quick changes counts no stale answer, and some once the platform answers as of before.

--- a/pkg/coordination/relay/platform.go
+++ b/pkg/coordination/relay/platform.go
@@ -10,7 +10,10 @@
 
 // read is the state of one kind of platform read; one is in flight at a time.
 type read struct {
-	inFlight  bool
+	inFlight bool
+	// asked is the revision held when the read was sent. An answer below it is
+	// stale; one below what a peer has brought since is only late.
+	asked     ids.Revision
 	notBefore time.Time
 	failures  int
 	// quietUntil is when a VM that does not watch reads by itself.
@@ -21,26 +24,37 @@
 func (r *Relay) tickPlatform(now time.Time) []Action {
 	var actions []Action
 	if wait, due := r.readDue(now, ReadVMs); due {
-		r.reads[ReadVMs].inFlight = true
-		actions = append(actions, WatchVMs{After: r.members.List().Revision, Wait: wait})
+		after := r.begin(ReadVMs)
+		actions = append(actions, WatchVMs{After: after, Wait: wait})
 	}
 	if !r.startup.ready {
 		return actions
 	}
 	if r.compact {
 		if r.mayRead(now, ReadListing) {
-			r.reads[ReadListing].inFlight = true
+			r.begin(ReadListing)
 			actions = append(actions, ListRecords{})
 		}
 		return actions
 	}
 	if wait, due := r.readDue(now, ReadRecords); due {
-		r.reads[ReadRecords].inFlight = true
-		actions = append(actions, WatchRecords{After: r.catalog.Through(), Wait: wait})
+		after := r.begin(ReadRecords)
+		actions = append(actions, WatchRecords{After: after, Wait: wait})
 	}
 	return actions
 }
 
+// begin marks a read as sent and returns the revision held.
+func (r *Relay) begin(kind Read) ids.Revision {
+	state := &r.reads[kind]
+	state.inFlight = true
+	state.asked = r.catalog.Through()
+	if kind == ReadVMs {
+		state.asked = r.members.List().Revision
+	}
+	return state.asked
+}
+
 func (r *Relay) mayRead(now time.Time, kind Read) bool {
 	return !r.reads[kind].inFlight && !now.Before(r.reads[kind].notBefore)
 }
@@ -103,10 +117,10 @@
 	return applied, r.tickPlatform(now)
 }
 
-// tookAnswer ends a read of records. A platform that answers with less than
-// the catalog has is stale; it is not asked again at once.
+// tookAnswer ends a read. A platform that answers with less than the VM had
+// when it asked is stale; it is not asked again at once.
 func (r *Relay) tookAnswer(now time.Time, kind Read, revision ids.Revision) {
-	stale := revision < r.catalog.Through()
+	stale := revision < r.reads[kind].asked
 	if stale {
 		r.stale++
 	}
@@ -133,13 +147,12 @@
 func (r *Relay) OnVMs(now, askedAt time.Time, list platformapi.VMList) []Action {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	stale := list.Revision < r.members.List().Revision
 	before := r.members.ConfirmedAt()
 	r.members.ObserveList(now, list, askedAt)
 	if r.members.ConfirmedAt().After(before) {
 		r.quiet[ReadVMs] = now
 	}
-	r.done(now, ReadVMs, stale)
+	r.tookAnswer(now, ReadVMs, list.Revision)
 	r.refreshLinks(now)
 	return append(r.tickHeartbeats(now), r.tickPlatform(now)...)
 }
--- a/pkg/coordination/relay/relay.go
+++ b/pkg/coordination/relay/relay.go
@@ -159,7 +159,8 @@
 	RecordsAge       time.Duration `json:"recordsAge"`
 	ListConfirmed    bool          `json:"listConfirmed"`
 	ListAge          time.Duration `json:"listAge"`
-	// StaleAnswers counts platform answers that were older than the catalog.
+	// StaleAnswers counts platform answers that were older than what the VM
+	// had when it asked.
 	StaleAnswers uint64 `json:"staleAnswers"`
 }
 
--- a/pkg/coordination/relay/relay_test.go
+++ b/pkg/coordination/relay/relay_test.go
@@ -172,6 +172,26 @@
 	assert.Assert(t, restartUnderStalePlatform(t, off))
 }
 
+// Guards against a stale platform that goes unnoticed, and against answers that
+// count as stale only because a peer was faster.
+func TestStaleAnswersAreCounted(t *testing.T) {
+	f := started(t, fleet.Config{Seed: 7, Sites: sites()})
+	for burst := range 40 {
+		f.Platform.Publish(watched, customer(burst+2))
+		f.Run(f.Uniform(300 * time.Millisecond))
+	}
+	f.Run(3 * time.Second)
+	for _, node := range f.All() {
+		assert.Equal(t, node.Relay.Status(f.Now()).StaleAnswers, uint64(0))
+	}
+	f.Platform.FrozenAt = f.Platform.Revision() - 1
+	f.Run(10 * time.Second)
+	for _, node := range f.All() {
+		status := node.Relay.Status(f.Now())
+		assert.Assert(t, status.StaleAnswers > 0 && status.RecordsAge > 8*time.Second, "%+v", status)
+	}
+}
+
 // neverReverts is a register for each VM whose reads never go down, restarts
 // of the VM included.
 var neverReverts = porcupine.Model{
--- a/pkg/coordination/relay/startup.go
+++ b/pkg/coordination/relay/startup.go
@@ -46,7 +46,7 @@
 		return r.becomeReady(now, true)
 	}
 	if r.listingDue(now, heard) {
-		r.reads[ReadListing].inFlight = true
+		r.begin(ReadListing)
 		return []Action{ListRecords{}}
 	}
 	return nil
