--- a/internal/bench/config/spread.go
+++ b/internal/bench/config/spread.go
@@ -16,6 +16,8 @@
 	forceLimit = 12
 	// trafficLimit is the budget of a node for all control traffic in bytes/s.
 	trafficLimit = 6000
+	// coreLimit is the budget of a node for all control work in % of a core.
+	coreLimit = 4.6
 	// platformLimit is how many calls a second the platform allows.
 	platformLimit = 2000
 	// changesPerSecond is 25,000 changes a day.
@@ -149,6 +151,9 @@
 	meanBytes, maxBytes float64
 	meanCalls           float64
 	peakCalls           int
+	// core is the part of a core that a node's decisions and the encoding of
+	// its messages take; the simulator's own work is part of it.
+	core float64
 }
 
 // measureFleetTraffic runs a fleet at a rate of changes.
@@ -159,6 +164,7 @@
 		before[node] = node.BytesSent + node.BytesReceived
 	}
 	from := f.Elapsed()
+	started := time.Now()
 	number := 0
 	for end := f.Now().Add(span); f.Now().Before(end); {
 		step := end.Sub(f.Now())
@@ -171,7 +177,7 @@
 			number++
 		}
 	}
-	var result traffic
+	result := traffic{core: time.Since(started).Seconds() / span.Seconds() / float64(len(nodes))}
 	for _, node := range nodes {
 		perSecond := float64(node.BytesSent+node.BytesReceived-before[node]) / span.Seconds()
 		result.meanBytes += perSecond / float64(len(nodes))
@@ -194,6 +200,7 @@
 	report.add("relay traffic of a node, idle, busiest node", idle.maxBytes, "B/s", trafficLimit)
 	report.add("relay traffic of a node, 25,000 changes a day, mean", busy.meanBytes, "B/s", trafficLimit)
 	report.add("relay traffic of a node, 25,000 changes a day, busiest node", busy.maxBytes, "B/s", trafficLimit)
+	report.add("relay, part of a core of a node, 25,000 changes a day", busy.core*100, "%", coreLimit)
 	report.add("VM list unconfirmed for 5 s, of samples", unconfirmed(f, span)*100, "%", 0)
 	from := f.Elapsed()
 	f.Platform.Down = true
@@ -221,11 +228,12 @@
 
 // measureTrafficSlopes varies the size of a data centre and the changes.
 func measureTrafficSlopes(report *Report, options Options, span time.Duration) {
-	var bySize, byChanges, calls [][2]float64
+	var bySize, byChanges, calls, cores [][2]float64
 	for _, size := range options.scale().centreSizes {
 		f := startFleet(options, target(6*size, 6, 2), true)
 		idle := measureFleetTraffic(f, span, 0)
 		bySize = append(bySize, [2]float64{float64(size), idle.maxBytes})
+		cores = append(cores, [2]float64{float64(size), idle.core})
 	}
 	for _, changes := range options.scale().changeRates {
 		f := startFleet(options, target(6*14, 6, 2), true)
@@ -238,6 +246,7 @@
 		calls = append(calls, [2]float64{float64(dataCentres), idle.meanCalls})
 	}
 	report.fit("config.relay_bytes_per_vm_of_data_centre", "B/s/VM", bySize)
+	report.fit("config.relay_core_per_vm_of_data_centre", "core/VM", cores)
 	report.fit("config.relay_bytes_per_change_rate", "B/s/(change/s)", byChanges)
 	report.fit("config.platform_calls_per_data_centre", "calls/s/data centre", calls)
 }
--- a/pkg/coordination/idempotency/home.go
+++ b/pkg/coordination/idempotency/home.go
@@ -18,7 +18,7 @@
 	MaxAnswerBytes = 64 << 10
 	// maxClaims bounds the claims that one home remembers. Claims inside their
 	// window are never evicted; a full home does not count instead. With the
-	// answers this keeps a home below a third of a VM's 64 MB.
+	// answers below this keeps a home at about a third of a VM's 64 MB.
 	maxClaims = 30_000
 	// maxStoredBytes bounds the answers of all claims together. Answers above
 	// it are remembered without their body.
