Answer late calls while draining instead of closing their connections

Change: connections end with their next answer, and a drain lasts at least timeouts.drainGraceMillis (3 s), in which late calls get a true refusal and new owners of endpoints get their handover. Conclusion: a graceful shutdown no longer leaves callers without an outcome.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -222,10 +222,12 @@
 			d.at("serve peers", "").WithError(err).Error("peer listener failed")
 		}
 	})
-	d.serve("serve callers", callers.NewServer(d, callers.Bounds{
+	server := callers.NewServer(d, callers.Bounds{
 		BodyBytes: d.settings.Limits.MaxBodyBytes,
 		Request:   d.settings.Timeouts.Request.Duration(),
-	}), d.listeners.callers)
+	})
+	server.Handler = d.closeWhileDraining(server.Handler)
+	d.serve("serve callers", server, d.listeners.callers)
 	d.serve("serve admin", admin.NewServer(d, d.metrics.handler()), d.listeners.admin)
 	d.spawn(d.syncLoop)
 	d.spawn(d.owner.run)
--- a/pkg/daemon/gate.go
+++ b/pkg/daemon/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -112,11 +113,18 @@
 	}
 	d.gate.drain()
 	d.at("drain", "").WithField("waitingFor", d.waitingFor()).Info("draining")
-	// Callers' kept connections close after their next answer, so that the
-	// load balancer sends nothing more here.
-	for _, server := range d.servers {
-		server.SetKeepAlivesEnabled(false)
-	}
+}
+
+// closeWhileDraining ends a caller's kept connection with the next answer once
+// the VM drains. Closing idle connections at once, as net/http's
+// SetKeepAlivesEnabled does, would cut requests that are on their way.
+func (d *Daemon) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.gate.isDraining() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // drainLogInterval is how often a drain says what it waits for.
@@ -135,12 +143,15 @@
 	return err
 }
 
-// Shutdown drains and waits until all requests have ended.
+// Shutdown drains and waits until all requests have ended. It lasts at least
+// the grace time, so that callers who have not heard of the drain still get a
+// true refusal, and VMs that take over endpoints still get an answer.
 func (d *Daemon) Shutdown() error {
 	d.Drain()
 	if !d.rules.drainWaits {
 		return nil
 	}
+	d.waitGrace()
 	idle := d.gate.drain()
 	timeout := time.NewTimer(d.settings.Timeouts.Drain.Duration())
 	defer timeout.Stop()
@@ -162,6 +173,19 @@
 	}
 }
 
+// waitGrace waits for the rest of the grace time of a drain.
+func (d *Daemon) waitGrace() {
+	d.gate.mu.Lock()
+	end := d.gate.since.Add(d.settings.Timeouts.DrainGrace.Duration())
+	d.gate.mu.Unlock()
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.ctx.Done():
+	}
+}
+
 // flushTimeout bounds the wait for the last bytes of answers to leave.
 const flushTimeout = 5 * time.Second
 
--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -76,6 +76,7 @@
 		number("timeouts.peerRemoteMillis", "wait for a VM of another region", &e.Timeouts.PeerRemote, 10, maxTimeout),
 		number("timeouts.bootstrapMillis", "wait for peers' views at the start", &e.Timeouts.Bootstrap, 10, maxTimeout),
 		number("timeouts.drainMillis", "longest graceful shutdown", &e.Timeouts.Drain, 10, maxTimeout),
+		number("timeouts.drainGraceMillis", "shortest graceful shutdown", &e.Timeouts.DrainGrace, 0, maxTimeout),
 		number("limits.maxBodyBytes", "largest request body", &e.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes),
 		number("limits.maxQueued", "requests that wait at once", &e.Limits.MaxQueued, 1, maxRequests),
 		number("limits.maxOpenRequests", "requests open at once", &e.Limits.MaxOpenRequests, 1, maxRequests),
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -80,6 +80,9 @@
 	// Drain bounds a graceful shutdown. It covers the longest request, so that
 	// a shutdown cuts none.
 	Drain Millis `json:"drainMillis"`
+	// DrainGrace is the shortest graceful shutdown. Until it ends, late calls
+	// are refused as not run, and new owners are told of rights in force.
+	DrainGrace Millis `json:"drainGraceMillis"`
 }
 
 // Limits bounds what the daemon holds.
@@ -127,6 +130,7 @@
 			PeerRemote:   1000,
 			Bootstrap:    5000,
 			Drain:        45_000,
+			DrainGrace:   3000,
 		},
 		Limits: Limits{
 			MaxBodyBytes:           1 << 20,
