--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/control"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/faults"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/limits"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/path"
@@ -33,6 +34,7 @@
 func experiments() []*cobra.Command {
 	return []*cobra.Command{
 		config.Command(),
+		control.Command(),
 		faults.Command(),
 		limits.Command(),
 		path.Command(),
--- a/internal/bench/faults/cluster.go
+++ b/internal/bench/faults/cluster.go
@@ -8,11 +8,11 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/proc"
 	"github.com/wagtailspoke/wagtailspoke/internal/netfault"
 	"github.com/wagtailspoke/wagtailspoke/internal/standin/engine"
 	"github.com/wagtailspoke/wagtailspoke/internal/standin/platform"
@@ -265,21 +265,18 @@
 	c.nextVM++
 	number := c.nextVM
 	c.mu.Unlock()
-	host := netip.AddrFrom4([4]byte{127, 0, byte(c.index), byte(number)})
+	host := proc.Host(c.index, number)
 	id := ids.VMID(fmt.Sprintf("vm%d", number))
 	c.network.AddHost(netfault.Host(id), host)
 	entry := settings.Defaults()
 	entry.VMID, entry.DataCentre, entry.Region = id, dc, region
 	entry.Source = host.String()
 	entry.Timeouts.FirstByte = 1500
-	for _, address := range []*string{&entry.Listen.Callers, &entry.Listen.Peers, &entry.Listen.Admin} {
-		free, err := freeAddress(host)
-		if err != nil {
-			return nil, err
-		}
-		*address = free
+	free, err := proc.FreeAddresses(host, 3)
+	if err != nil {
+		return nil, err
 	}
-	var err error
+	entry.Listen = settings.Listen{Callers: free[0], Peers: free[1], Admin: free[2]}
 	if entry.Platform.Address, err = c.network.Forward(c.ctx, platformHost, c.platform.Address()); err != nil {
 		return nil, err
 	}
--- a/internal/bench/faults/process.go
+++ b/internal/bench/faults/process.go
@@ -5,9 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -49,16 +47,6 @@
 	return l.buf.String()
 }
 
-// freeAddress finds a free port of a loopback address.
-func freeAddress(host netip.Addr) (string, error) {
-	listener, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // settingsMode is the mode of the settings files.
 const settingsMode = 0o600
 
--- a/internal/bench/path/children.go
+++ b/internal/bench/path/children.go
@@ -5,22 +5,18 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
-	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/proc"
 )
 
 // stopWait is how long a child may take to end after SIGTERM.
 const stopWait = 10 * time.Second
 
-// clockTicks is the unit of CPU times in /proc on Linux.
-const clockTicks = 100
-
 // child is one process of this repository's own binaries.
 type child struct {
 	name    string
@@ -61,45 +57,7 @@
 }
 
 // residentBytes returns the memory that the process holds now.
-func (c *child) residentBytes() int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(status)) {
-		fields := strings.Fields(line)
-		if len(fields) >= 2 && fields[0] == "VmRSS:" {
-			kilobytes, _ := strconv.ParseInt(fields[1], 10, 64)
-			return kilobytes << 10
-		}
-	}
-	return 0
-}
+func (c *child) residentBytes() int64 { return proc.ResidentBytes(c.command.Process.Pid) }
 
 // cpu returns the CPU time that the process has used.
-func (c *child) cpu() time.Duration {
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(stat), ") ")
-	fields := strings.Fields(rest)
-	// User and system time are fields 14 and 15 of the whole line.
-	const userField, systemField = 11, 12
-	if len(fields) <= systemField {
-		return 0
-	}
-	user, _ := strconv.ParseInt(fields[userField], 10, 64)
-	system, _ := strconv.ParseInt(fields[systemField], 10, 64)
-	return time.Duration(user+system) * time.Second / clockTicks
-}
-
-// freeAddress returns a loopback address whose port is free now.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
+func (c *child) cpu() time.Duration { return proc.CPU(c.command.Process.Pid) }
--- a/internal/bench/path/path.go
+++ b/internal/bench/path/path.go
@@ -20,6 +20,7 @@
 	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/proc"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1/inferencev1connect"
@@ -44,6 +45,7 @@
 	concurrency int
 	tokens      uint32
 	asJSON      bool
+	slopesOut   string
 	verbose     bool
 }
 
@@ -89,6 +91,9 @@
 			if c.verbose {
 				log = command.ErrOrStderr()
 			}
+			if c.slopesOut != "" {
+				return writeSlopes(command.Context(), c, log)
+			}
 			report, err := run(command.Context(), c, log)
 			if err != nil {
 				return err
@@ -102,6 +107,7 @@
 	flags.IntVar(&c.concurrency, "concurrency", 16, "requests that are open at once")
 	flags.Uint32Var(&c.tokens, "tokens", 8, "tokens of each answer")
 	flags.BoolVar(&c.asJSON, "json", false, "print JSON")
+	flags.StringVar(&c.slopesOut, "slopes", "", "measure over several answer lengths and write the slopes to this file")
 	flags.BoolVar(&c.verbose, "verbose", false, "show the logs of the processes")
 	return command
 }
@@ -169,16 +175,11 @@
 }
 
 func (b *bench) startDaemon(ctx context.Context, log io.Writer) (string, error) {
-	var addresses [3]string
-	for i := range addresses {
-		address, err := freeAddress()
-		if err != nil {
-			return "", err
-		}
-		addresses[i] = address
+	addresses, err := proc.FreeAddresses(proc.Host(0, 1), 3)
+	if err != nil {
+		return "", err
 	}
 	b.callers, b.admin = addresses[0], addresses[1]
-	var err error
 	b.daemon, err = startChild(ctx, b.config.binDir, "wagtailspoked", log,
 		"--vm-id=vm-1", "--data-centre=dc-1", "--region=bench", "--log-level=warning",
 		"--listen-callers="+addresses[0], "--listen-admin="+addresses[1], "--listen-peers="+addresses[2],
