Show pins in the status and give them back after a drain

Cause: the status hid pins, and a drained VM kept its pins for their term. Change: a log of held and granted pins for the status; the end of a drain releases all held ones. Conclusion: the drain test finds no pin left.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -105,6 +105,7 @@
 	through atomic.Uint64
 	listed  appliedList
 	beats   beatLog
+	pins    pinLog
 
 	gate      gatekeeper
 	committed atomic.Int64
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -305,7 +305,7 @@
 
 // Guards against a status that hides what operators need.
 func testStatus(t *testing.T, f *fleet) {
-	owners := 0
+	owners, pins := 0, 0
 	for _, id := range f.order {
 		status := f.vms[id].Status()
 		assert.Assert(t, status.Ready)
@@ -313,12 +313,14 @@
 		assert.Assert(t, status.Catalog.AgeMillis >= 0)
 		assert.Equal(t, len(status.Peers), 2)
 		for _, endpoint := range status.Endpoints {
+			pins += len(endpoint.Pins)
 			if endpoint.Owned {
 				owners++
 				assert.Assert(t, endpoint.Fence > 0)
 			}
 		}
 	}
+	assert.Assert(t, pins > 0)
 	assert.Equal(t, owners, len(f.engines)+len(f.services), "each endpoint has one owner")
 }
 
@@ -422,6 +424,7 @@
 			assert.NilError(t, drainErr)
 			assert.NilError(t, got.err)
 			assert.Equal(t, got.text, engine.Text("poet@2", "while draining", 50))
+			assert.Equal(t, vm.table.PinCount(time.Now()), 0, "pins are given back")
 		})
 	}
 }
--- a/pkg/daemon/gate.go
+++ b/pkg/daemon/gate.go
@@ -151,6 +151,7 @@
 		case <-idle:
 			d.at("drain", "").Info("drained")
 			d.flushAnswers()
+			d.owner.releaseAll()
 			return nil
 		case <-say.C:
 			d.at("drain", "").WithField("waitingFor", d.waitingFor()).Info("still draining")
--- a/pkg/daemon/owner.go
+++ b/pkg/daemon/owner.go
@@ -347,6 +347,7 @@
 		d.table.ObservePeer(now, vm, reply.Revision, askedAt)
 	}
 	d.holder.Granted(now, askedAt, request.Sequence, reply.Grants)
+	d.pins.granted(d.settings.VMID, askedAt, reply.Grants)
 	for _, grant := range reply.Grants {
 		o.refusedPin(grant)
 	}
@@ -383,16 +384,34 @@
 	if len(due.Renew) > 0 {
 		d.spawn(func() { o.acquirePins(due.Renew) })
 	}
+	d.pins.released(d.settings.VMID, due.Release)
 	for vm, keys := range d.byOwner(due.Release) {
-		request := peer.PinsReleaseRequest{Sender: d.settings.VMID, Boot: d.boot, Sequence: due.ReleaseSequence, Pins: keys}
-		if vm == d.settings.VMID {
-			d.table.Release(request)
-			continue
-		}
-		d.spawn(func() {
-			_, _ = peers.Call[peer.PinsReleaseReply](d.ctx, d.peers, vm, peer.MethodPinsRelease, d.peerTimeout(vm), request)
-		})
+		d.spawn(func() { o.releaseTo(vm, due.ReleaseSequence, keys) })
+	}
+}
+
+func (o *owner) releaseTo(vm ids.VMID, sequence uint64, keys []peer.PinKey) {
+	d := o.daemon
+	request := peer.PinsReleaseRequest{Sender: d.settings.VMID, Boot: d.boot, Sequence: sequence, Pins: keys}
+	if vm == d.settings.VMID {
+		d.table.Release(request)
+		return
 	}
+	_, _ = peers.Call[peer.PinsReleaseReply](d.ctx, d.peers, vm, peer.MethodPinsRelease, d.peerTimeout(vm), request)
+}
+
+// releaseAll gives all pins back at the end of a drain, when no request runs
+// and none begins any more.
+func (o *owner) releaseAll() {
+	d := o.daemon
+	keys := d.pins.held(time.Now(), d.settings.VMID)
+	sequence := d.holder.NextSequence()
+	var releases sync.WaitGroup
+	for vm, part := range d.byOwner(keys) {
+		releases.Go(func() { o.releaseTo(vm, sequence, part) })
+	}
+	releases.Wait()
+	d.pins.released(d.settings.VMID, keys)
 }
 
 // tellWork tells the owner of endpoints about waiting requests.
@@ -488,12 +507,15 @@
 // handleOwnership registers the messages about endpoints.
 func (d *Daemon) handleOwnership(registry *peers.Registry) {
 	peers.Handle(registry, peer.MethodPinsAcquire, func(_ context.Context, _ peers.From, request peer.PinsAcquireRequest) (peer.PinsAcquireReply, error) {
-		reply := d.table.Grant(time.Now(), request, d.planner.Resident)
+		now := time.Now()
+		reply := d.table.Grant(now, request, d.planner.Resident)
 		reply.Boot = d.boot
+		d.pins.granted(request.Sender, now, reply.Grants)
 		return reply, nil
 	})
 	peers.Handle(registry, peer.MethodPinsRelease, func(_ context.Context, _ peers.From, request peer.PinsReleaseRequest) (peer.PinsReleaseReply, error) {
 		d.table.Release(request)
+		d.pins.released(request.Sender, request.Pins)
 		return peer.PinsReleaseReply{Sender: d.settings.VMID, Boot: d.boot, Revision: d.members.List().Revision}, nil
 	})
 	peers.Handle(registry, peer.MethodOwnerHandover, func(_ context.Context, _ peers.From, request peer.HandoverRequest) (peer.HandoverReply, error) {
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -125,6 +125,7 @@
 
 func (d *Daemon) endpointStatus(now time.Time) []admin.EndpointStatus {
 	var list []admin.EndpointStatus
+	pins := d.pins.status(now)
 	for _, endpoint := range d.catalog.View().Endpoints() {
 		owner, _ := d.ownerOf(endpoint.ID)
 		status := admin.EndpointStatus{
@@ -135,6 +136,7 @@
 			Owner:      owner,
 			Owned:      d.table.Owns(endpoint.ID),
 			Reachable:  d.reports.reachable(endpoint.ID),
+			Pins:       pins[endpoint.ID],
 		}
 		if report, known := d.reports.get(endpoint.ID); known {
 			status.Boot, status.Resident = report.Boot, report.Resident
--- a/pkg/transport/admin/status.go
+++ b/pkg/transport/admin/status.go
@@ -96,12 +96,11 @@
 	MayOrder bool   `json:"mayOrder"`
 	NoOrder  string `json:"noOrder,omitempty"`
 	// Boot is the run of the endpoint that the last load report named.
-	Boot     ids.BootID     `json:"boot,omitempty"`
-	Resident []string       `json:"resident,omitempty"`
-	Running  int            `json:"running"`
-	Waiting  int            `json:"waiting"`
-	Pins     []PinStatus    `json:"pins,omitempty"`
-	InFlight map[string]int `json:"inFlight,omitempty"`
+	Boot     ids.BootID  `json:"boot,omitempty"`
+	Resident []string    `json:"resident,omitempty"`
+	Running  int         `json:"running"`
+	Waiting  int         `json:"waiting"`
+	Pins     []PinStatus `json:"pins,omitempty"`
 }
 
 // PinStatus describes one pin that this VM holds or granted.
