--- a/internal/bench/config/claims.go
+++ b/internal/bench/config/claims.go
@@ -21,6 +21,8 @@
 	repeatWindow = 10 * time.Minute
 	// keyedCalls is how many calls are made to count their messages.
 	keyedCalls = 450
+	// listDelay is the time from a VM's death to the list that replaces it.
+	listDelay = 5 * time.Second
 	// callEvery is the interval of the keyed calls of a simulated fleet.
 	callEvery = 20 * time.Millisecond
 )
@@ -46,10 +48,10 @@
 // keyed call.
 func measureClaims(report *Report, options Options) {
 	var memory [][2]float64
-	for _, claims := range []int{5000, 10_000, 20_000} {
+	for _, claims := range options.scale().claims {
 		memory = append(memory, [2]float64{float64(claims), claimMemory(claims)})
 	}
-	report.add("memory of a claim with an answer of 200 bytes", memory[2][1]/memory[2][0], "B", 0)
+	report.add("memory of a claim with an answer of 200 bytes", memory[len(memory)-1][1]/memory[len(memory)-1][0], "B", 0)
 	report.fit("config.claim_bytes", "B/claim", memory)
 
 	f := startFleet(options, isbreen(), true)
@@ -117,12 +119,9 @@
 
 // measureOutcomes kills VMs at stated rates under keyed calls.
 func measureOutcomes(report *Report, options Options) {
-	calls := 20_000
-	if options.Quick {
-		calls = 4000
-	}
+	calls := options.scale().calls
 	var points [][2]float64
-	for _, killsPerMinute := range []float64{0, 0.5, 2} {
+	for _, killsPerMinute := range options.scale().kills {
 		found := countOutcomes(options, calls, killsPerMinute)
 		unknown := float64(found.unknown) / float64(found.calls) * 10_000
 		refused := float64(found.notRun) / float64(found.calls) * 10_000
@@ -136,8 +135,8 @@
 	report.fit("config.outcome_unknown_per_10000", "calls/(kill/min)", points)
 }
 
-// countOutcomes sends keyed calls, each once, to VMs that are up, and replaces
-// VMs at random. A call whose VM died counts as unknown.
+// countOutcomes sends keyed calls, each once, to VMs that are up, and kills
+// VMs at regular intervals. A call whose VM died counts as unknown.
 func countOutcomes(options Options, calls int, killsPerMinute float64) outcomes {
 	f := startFleet(options, isbreen(), false)
 	f.Run(30 * time.Second)
@@ -153,18 +152,13 @@
 		}
 		return found.calls < calls
 	})
-	end := f.Now().Add(time.Duration(calls) * callEvery)
-	for f.Now().Before(end) {
-		if killsPerMinute == 0 {
-			f.Run(end.Sub(f.Now()))
-			break
-		}
-		f.Run(min(end.Sub(f.Now()), time.Duration(f.Rand.ExpFloat64()/killsPerMinute*float64(time.Minute))))
-		if up := f.All(); f.Now().Before(end) {
-			f.Replace(up[f.Rand.IntN(len(up))])
-		}
+	if killsPerMinute > 0 {
+		f.Every(time.Duration(float64(time.Minute)/killsPerMinute), func() bool {
+			killOne(f)
+			return found.calls < calls
+		})
 	}
-	f.Run(10 * time.Second)
+	f.Run(time.Duration(calls)*callEvery + 10*time.Second)
 	for _, claims := range service.Runs {
 		if len(claims) > 1 {
 			found.doubled++
@@ -173,6 +167,14 @@
 	return found
 }
 
+// killOne kills a VM; the list shows it and its replacement later.
+func killOne(f *fleet.Fleet) {
+	up := f.All()
+	node := up[f.Rand.IntN(len(up))]
+	node.Kill()
+	f.After(listDelay, func() { f.Replace(node) })
+}
+
 // count takes what a caller heard; until then its call counted as unknown.
 func (o *outcomes) count(result fleet.Result) {
 	switch result.Outcome {
--- a/internal/bench/faults/cluster.go
+++ b/internal/bench/faults/cluster.go
@@ -215,6 +215,8 @@
 const (
 	spareKey   = "sk-spare-key-0d93b8e1"
 	spareKeyID = "spare"
+	// wrongKey belongs to no customer.
+	wrongKey = "sk-wrong-key-7be20c55"
 )
 
 func (c *cluster) publishRecords() {
@@ -342,12 +344,6 @@
 	c.isolated[p.vm] = true
 }
 
-func (c *cluster) isIsolated(vm ids.VMID) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isolated[vm]
-}
-
 var errNotReady = errors.New("a VM did not get ready in time")
 
 func (c *cluster) waitReady() error {
--- a/pkg/coordination/placement/budget.go
+++ b/pkg/coordination/placement/budget.go
@@ -30,10 +30,19 @@
 
 // TakeLoad takes the right to begin one load and a place in flight.
 func (b *Budget) TakeLoad(now time.Time) bool {
+	return b.take(now, 1)
+}
+
+// TakeSpareLoad implements SpareTaker.
+func (b *Budget) TakeSpareLoad(now time.Time, reserve float64) bool {
+	return b.take(now, 1+reserve*max(0, b.burst-1))
+}
+
+func (b *Budget) take(now time.Time, least float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	if b.level < 1 || b.used >= b.places {
+	if b.level < least || b.used >= b.places {
 		return false
 	}
 	b.level--
