Remove two settings without effect

Cause: timeouts.bootstrapMillis and limits.maxStoredAnswerBytes were offered, but the relay and the homes of idempotency keys use constants of the design.

--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -45,7 +45,6 @@
 	maxTimeout   = 600_000
 	minBodyBytes = 1 << 10
 	maxBodyBytes = 64 << 20
-	maxStored    = 1 << 20
 	maxRequests  = 1_000_000
 	maxConns     = 65_536
 )
@@ -74,13 +73,11 @@
 		number("timeouts.requestMillis", "time of a request without a deadline", &e.Timeouts.Request, 10, maxTimeout),
 		number("timeouts.peerRegionMillis", "wait for a VM of the same region", &e.Timeouts.PeerRegion, 10, maxTimeout),
 		number("timeouts.peerRemoteMillis", "wait for a VM of another region", &e.Timeouts.PeerRemote, 10, maxTimeout),
-		number("timeouts.bootstrapMillis", "wait for peers' views at the start", &e.Timeouts.Bootstrap, 10, maxTimeout),
 		number("timeouts.drainMillis", "longest graceful shutdown", &e.Timeouts.Drain, 10, maxTimeout),
 		number("timeouts.drainGraceMillis", "shortest graceful shutdown", &e.Timeouts.DrainGrace, 0, maxTimeout),
 		number("limits.maxBodyBytes", "largest request body", &e.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes),
 		number("limits.maxQueued", "requests that wait at once", &e.Limits.MaxQueued, 1, maxRequests),
 		number("limits.maxOpenRequests", "requests open at once", &e.Limits.MaxOpenRequests, 1, maxRequests),
-		number("limits.maxStoredAnswerBytes", "largest answer kept for an idempotency key", &e.Limits.MaxStoredAnswerBytes, 0, maxStored),
 		number("limits.maxEndpointConnections", "connections to one endpoint", &e.Limits.MaxEndpointConnections, 1, maxConns),
 		choice("log.level", "lowest level that is logged", &e.Log.Level, logLevels),
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -75,8 +75,6 @@
 	// another region.
 	PeerRegion Millis `json:"peerRegionMillis"`
 	PeerRemote Millis `json:"peerRemoteMillis"`
-	// Bootstrap bounds the wait for peers' views at the start.
-	Bootstrap Millis `json:"bootstrapMillis"`
 	// Drain bounds a graceful shutdown. It covers the longest request, so that
 	// a shutdown cuts none.
 	Drain Millis `json:"drainMillis"`
@@ -92,9 +90,6 @@
 	MaxQueued int64 `json:"maxQueued"`
 	// MaxOpenRequests is the number of requests that are open at once.
 	MaxOpenRequests int64 `json:"maxOpenRequests"`
-	// MaxStoredAnswerBytes is the largest answer that is kept for repeats of
-	// an idempotency key.
-	MaxStoredAnswerBytes int64 `json:"maxStoredAnswerBytes"`
 	// MaxEndpointConnections bounds the connections to one endpoint.
 	MaxEndpointConnections int64 `json:"maxEndpointConnections"`
 }
@@ -128,7 +123,6 @@
 			Request:      30_000,
 			PeerRegion:   250,
 			PeerRemote:   1000,
-			Bootstrap:    5000,
 			Drain:        45_000,
 			DrainGrace:   3000,
 		},
@@ -136,7 +130,6 @@
 			MaxBodyBytes:           1 << 20,
 			MaxQueued:              10_000,
 			MaxOpenRequests:        20_000,
-			MaxStoredAnswerBytes:   64 << 10,
 			MaxEndpointConnections: 256,
 		},
 		Log: Log{Level: "info"},
