Show that the history checks can fail

A model that accepts everything would let the random tests pass. This feeds both porcupine models a history that breaks its rule and one that keeps it; the first is refused and the second accepted.

--- a/pkg/coordination/idempotency/fleet_test.go
+++ b/pkg/coordination/idempotency/fleet_test.go
@@ -274,3 +274,19 @@
 	}
 	t.Fatal("no doubled run in 20 simulations with the rule off")
 }
+
+// Guards the tests above: histories of a key that ran twice, or whose stored
+// answer comes from nowhere, are found.
+func TestTheModelFindsUntrueHistories(t *testing.T) {
+	answer := func(at int64, stored bool) porcupine.Operation {
+		return porcupine.Operation{Input: "k", Call: at, Return: at + 1, Output: fleet.Result{Outcome: lifecycle.OutcomeAnswer, Stored: stored}}
+	}
+	unknown := porcupine.Operation{Input: "k", Call: 0, Return: forever, Output: fleet.Result{Outcome: lifecycle.OutcomeUnknown}}
+	fits := func(history ...porcupine.Operation) bool {
+		return porcupine.CheckOperations(runAtMostOnce.ToModel(), history)
+	}
+	assert.Assert(t, fits(answer(1, false), answer(3, true)))
+	assert.Assert(t, fits(unknown, answer(3, true)))
+	assert.Assert(t, !fits(answer(1, false), answer(3, false)))
+	assert.Assert(t, !fits(answer(1, true), answer(3, false)))
+}
--- a/pkg/coordination/relay/relay_test.go
+++ b/pkg/coordination/relay/relay_test.go
@@ -309,3 +309,13 @@
 	}
 	return kept
 }
+
+// Guards the test above: a history that falls on one VM is found, one that
+// differs between VMs is allowed.
+func TestTheRegisterFindsAFall(t *testing.T) {
+	read := func(vm ids.VMID, at int64, revision ids.Revision) porcupine.Operation {
+		return porcupine.Operation{Input: vm, Call: at, Output: revision, Return: at}
+	}
+	assert.Assert(t, porcupine.CheckOperations(neverReverts, []porcupine.Operation{read("a", 1, 2), read("b", 2, 1), read("a", 3, 3)}))
+	assert.Assert(t, !porcupine.CheckOperations(neverReverts, []porcupine.Operation{read("a", 1, 2), read("a", 2, 1)}))
+}
