--- a/pkg/ctl/demo/steps.go
+++ b/pkg/ctl/demo/steps.go
@@ -69,6 +69,9 @@
 		const requests = 96
 		var whole, retries atomic.Int64
 		var failure firstError
+		var first sync.Once
+		var firstAfter time.Duration
+		start := time.Now()
 		parallel(requests, 16, func(i int) {
 			via := w.vms[i%len(w.vms)]
 			a := ask{
@@ -79,12 +82,13 @@
 			retries.Add(int64(r.retries))
 			if r.matches(a, 1) {
 				whole.Add(1)
+				first.Do(func() { firstAfter = time.Since(start) })
 				return
 			}
 			failure.note("%s via %s: %v %q", a.adapter, via.id(), r.err, r.text)
 		})
-		v.check(kind, whole.Load() == requests, "%d of %d answers whole, from the adapter version asked for, after %d retries%s",
-			whole.Load(), requests, retries.Load(), failure.text)
+		v.check(kind, whole.Load() == requests, "%d of %d answers whole, from the adapter version asked for, the first after %.1f s, %d retries%s",
+			whole.Load(), requests, firstAfter.Seconds(), retries.Load(), failure.text)
 	}
 }
 
@@ -347,17 +351,21 @@
 		return
 	}
 	served := 0
+	var slowest time.Duration
 	var failure firstError
 	for i := range adapters - 1 {
 		a := ask{key: w.keys["large-1"], adapter: adapterName(1 + i), version: 1, prompt: "replaced", maxTokens: 4}
+		start := time.Now()
 		r := replacement.send(ctx, a)
+		slowest = max(slowest, time.Since(start))
 		if r.matches(a, 1) {
 			served++
 			continue
 		}
 		failure.note("%s: %v", a.adapter, r.err)
 	}
-	v.check("VM replaced", served == adapters-1, "%s serves %d of %d adapters%s", replacement.id(), served, adapters-1, failure.text)
+	v.check("VM replaced", served == adapters-1, "%s serves %d of %d adapters, the slowest after %.1f s%s",
+		replacement.id(), served, adapters-1, slowest.Seconds(), failure.text)
 }
 
 func drainUnderLoad(ctx context.Context, w *world, v *verdict) {
