Give unused pins back after two seconds

Cause: pins stayed for ten seconds after their last use, and a pinned adapter cannot be evicted, so adapters asked for once filled the engines' slots and others were not loaded before their deadline. Change: the daemon keeps an unused pin for 2 s; a new one costs a round trip in the region.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -125,6 +125,11 @@
 	callers, peers, admin net.Listener
 }
 
+// idleRelease is how long an unused pin is kept. A pinned adapter cannot be
+// evicted, so a longer time fills the slots of engines with adapters that
+// were asked for once; a new pin costs one round trip inside the region.
+const idleRelease = 2 * time.Second
+
 // New assembles a VM without opening a port.
 func New(entry settings.Entry, options Options) *Daemon {
 	if options.LogOutput == nil {
@@ -132,6 +137,7 @@
 	}
 	if options.Terms == (ownership.Terms{}) {
 		options.Terms = ownership.DefaultTerms()
+		options.Terms.IdleRelease = idleRelease
 	}
 	now := time.Now()
 	redactor := &observability.Redactor{}
