--- a/pkg/coordination/limits/bucket.go
+++ b/pkg/coordination/limits/bucket.go
@@ -24,6 +24,8 @@
 type bucket struct {
 	customer ids.CustomerID
 	policy   Policy
+	// weights is the sum of the policy's weights.
+	weights float64
 	// inForce is the fraction of rate and burst that this VM uses, target the
 	// one that the policy gives it. Target is above inForce only while a raise
 	// waits for acknowledgements.
@@ -118,6 +120,11 @@
 	return share{rate: rate, cap: burst - transit}
 }
 
+// peerShare returns the share that the policy gives a VM of a data centre.
+func (t *Table) peerShare(b *bucket, dc ids.DataCentreID) share {
+	return t.shareAt(b, b.policy.fractionOf(dc, b.weights))
+}
+
 // capNow returns the cap on the own level at a time.
 func (s share) capNow(b *bucket, now int64, age int64) int64 {
 	if s.window {
--- a/pkg/coordination/limits/config.go
+++ b/pkg/coordination/limits/config.go
@@ -84,14 +84,24 @@
 // fraction returns the part of rate and burst that one seat of a data centre
 // owns.
 func (p Policy) fraction(dc ids.DataCentreID) float64 {
+	return p.fractionOf(dc, p.weights())
+}
+
+// weights returns the sum of the weights of all data centres.
+func (p Policy) weights() float64 {
+	sum := 0.0
+	for _, dc := range p.DataCentres {
+		sum += max(dc.Weight, 0)
+	}
+	return sum
+}
+
+// fractionOf is fraction with the sum of the weights at hand.
+func (p Policy) fractionOf(dc ids.DataCentreID, sum float64) float64 {
 	own := p.DataCentres[dc]
 	if own.Seats <= 0 || own.Weight <= 0 {
 		return 0
 	}
-	sum := 0.0
-	for _, other := range p.DataCentres {
-		sum += max(other.Weight, 0)
-	}
 	return own.Weight / sum / float64(own.Seats)
 }
 
--- a/pkg/coordination/limits/gather.go
+++ b/pkg/coordination/limits/gather.go
@@ -90,7 +90,7 @@
 	}
 	peers := t.peers.Load().vms
 	for _, vm := range peers[:min(len(peers), farScan)] {
-		s := t.shareAt(b, b.policy.fraction(vm.DataCentre))
+		s := t.peerShare(b, vm.DataCentre)
 		held := s.cap
 		if h, heard := b.hints[vm.ID]; heard {
 			held = min(s.cap, h.left+accrual(s.rate, now-h.at))
@@ -302,9 +302,11 @@
 			return 0
 		}
 	}
-	s := t.shareAt(b, b.policy.fraction(vm.DataCentre))
+	s := t.peerShare(b, vm.DataCentre)
 	h, heard := b.hints[vm.ID]
 	switch {
+	case s.rate == 0:
+		return 0
 	case !heard:
 		return s.cap/2 + micro
 	case h.retryAt > now:
--- a/pkg/coordination/limits/table.go
+++ b/pkg/coordination/limits/table.go
@@ -137,7 +137,7 @@
 	} else {
 		t.touch(b, at)
 	}
-	b.policy = p
+	b.policy, b.weights = p, p.weights()
 	b.target = p.fraction(t.dc)
 	b.inForce = min(b.inForce, b.target)
 	t.touch(b, at)
