--- a/pkg/coordination/limits/admit.go
+++ b/pkg/coordination/limits/admit.go
@@ -14,7 +14,10 @@
 type Charge struct {
 	Customer ids.CustomerID
 	// Cost is in tokens.
-	Cost    int64
+	Cost int64
+	// from is the bucket charged; a customer that was removed and came back
+	// has another one, in which the charge has no place.
+	from    *bucket
 	seq     uint64
 	settled bool
 }
@@ -127,6 +130,7 @@
 	return &Charge{
 		Customer: b.customer,
 		Cost:     cost / micro,
+		from:     b,
 		seq:      t.deduct(b, s, now, own, own < cost),
 	}
 }
@@ -144,7 +148,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	b := sh.buckets[c.Customer]
-	if b == nil || c.settled {
+	if b == nil || b != c.from || c.settled {
 		return 0, out
 	}
 	c.settled = true
--- a/pkg/coordination/limits/fleet_test.go
+++ b/pkg/coordination/limits/fleet_test.go
@@ -44,8 +44,8 @@
 	network := sim.DefaultNetwork()
 	network.Loss = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "loss")
 	network.Repeat = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "repeat")
-	network.Late = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "late")
-	network.LateMax = 2 * time.Second
+	network.Late = rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(t, "late")
+	network.LateMax = rapid.SampledFrom([]time.Duration{230 * time.Millisecond, 2 * time.Second}).Draw(t, "lateMax")
 	w := &world{
 		t: t, seats: 2, dcs: centres(3, 2), running: map[ids.DataCentreID]int{},
 		fleet: sim.NewFleet(cfg, network, rapid.Uint64().Draw(t, "seed"), limits.NewWithRules(rules)),
@@ -112,12 +112,13 @@
 // Violations show only when the whole burst is spent at one time.
 func (w *world) storm() {
 	w.fleet.Run(w.fleet.Now() + time.Duration(rapid.IntRange(1, 8).Draw(w.t, "idle"))*time.Second)
+	unused := rapid.SampledFrom([]int64{0, 100}).Draw(w.t, "unused")
 	for range 3 {
 		for _, n := range w.alive() {
 			for range 3 {
 				w.fleet.Offer(n, &sim.Request{
-					Customer: customer, Cost: rapid.Int64Range(1, 600).Draw(w.t, "cost"),
-					Unused: rapid.Int64Range(0, 1).Draw(w.t, "unused"), RunTime: 3 * time.Second,
+					Customer: customer, Cost: rapid.Int64Range(100, 600).Draw(w.t, "cost"),
+					Unused: unused, RunTime: 4 * time.Second,
 				})
 			}
 		}
@@ -159,7 +160,7 @@
 	}
 	w.policy = next
 	for _, n := range w.alive() {
-		lag := time.Duration(rapid.IntRange(0, 2000).Draw(w.t, "lag")) * time.Millisecond
+		lag := time.Duration(rapid.IntRange(0, 8000).Draw(w.t, "lag")) * time.Millisecond
 		w.fleet.At(w.fleet.Now()+lag, func() { w.fleet.Apply(n, customer, next) })
 	}
 }
@@ -179,7 +180,7 @@
 }
 
 func (w *world) step() {
-	actions := []func(){w.offer, w.storm, w.storm, w.storm, w.kill, w.replace, w.replace, w.change, w.pause, w.partition}
+	actions := []func(){w.offer, w.storm, w.storm, w.storm, w.kill, w.replace, w.replace, w.replace, w.change, w.pause, w.partition}
 	actions[rapid.IntRange(0, len(actions)-1).Draw(w.t, "action")]()
 	w.fleet.Run(w.fleet.Now() + time.Duration(rapid.IntRange(0, 700).Draw(w.t, "gap"))*time.Millisecond)
 }
--- a/pkg/coordination/limits/rules_test.go
+++ b/pkg/coordination/limits/rules_test.go
@@ -197,7 +197,8 @@
 	assert.Equal(t, p.excess(), 0.0)
 }
 
-// Guards against a charge that is paid back twice.
+// Guards against a charge that is paid back twice, or to a bucket that it was
+// not taken from.
 func TestRefundOnce(t *testing.T) {
 	p := newPair(t, limits.AllRules())
 	d := p.admit(p.a, 900)
@@ -205,6 +206,11 @@
 	second, _ := p.a.Refund(p.now, d.Charge, 900)
 	assert.Equal(t, first, int64(900))
 	assert.Equal(t, second, int64(0))
+	d = p.admit(p.a, 900)
+	p.a.Remove(p.now, customer)
+	p.join(p.a, pairPolicy(1, 1, 1))
+	late, _ := p.a.Refund(p.now, d.Charge, 900)
+	assert.Equal(t, late, int64(0))
 }
 
 // Guards against a raise on the word of a peer that has skipped the revision
