--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -8,7 +8,12 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/control"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/faults"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/limits"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/path"
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/placement"
 )
 
 func main() {
@@ -28,6 +33,11 @@
 // experiments lists the subcommands, one for each package below internal/bench.
 func experiments() []*cobra.Command {
 	return []*cobra.Command{
+		config.Command(),
+		control.Command(),
+		faults.Command(),
 		limits.Command(),
+		path.Command(),
+		placement.Command(),
 	}
 }
