Let the time of a bucket never go back

Cause: callers read the time before they wait for a shard's lock; one that is paused in between would use borrowed tokens by its old time. Change: a bucket works with the larger of the caller's time and its own last one; Refund is documented to be called for every charge. Conclusion: a pause before the lock is covered if the bucket was touched since.

--- a/pkg/coordination/limits/admit.go
+++ b/pkg/coordination/limits/admit.go
@@ -59,7 +59,7 @@
 	if b == nil {
 		return t.refuse(sh, ReasonUnknown, 0)
 	}
-	at := t.nanos(now)
+	at := t.clock(b, now)
 	s := t.touch(b, at)
 	cost = max(cost, 0)
 	if cost > maxCost || float64(cost) > t.usableBurst(b) {
@@ -138,7 +138,8 @@
 // Refund credits the unused part of a charge at the end of its request, and all
 // of it if the request did not run. The credit is clipped so that the level
 // since the charge would not have passed the cap. It returns the tokens
-// credited; the outcome may grant waiting requests.
+// credited; the outcome may grant waiting requests. The driver calls it for
+// every charge, with 0 if all was used, which ends the memory of the charge.
 func (t *Table) Refund(now time.Time, c *Charge, unused int64) (int64, Outcome) {
 	var out Outcome
 	if c == nil {
@@ -152,7 +153,7 @@
 		return 0, out
 	}
 	c.settled = true
-	at := t.nanos(now)
+	at := t.clock(b, now)
 	t.touch(b, at)
 	want := min(max(unused, 0), c.Cost) * micro
 	credit := b.history.settle(c.seq, want)
@@ -193,7 +194,7 @@
 	defer sh.mu.Unlock()
 	if b := sh.buckets[customer]; b != nil {
 		change(b)
-		t.process(sh, b, t.nanos(now), &out)
+		t.process(sh, b, t.clock(b, now), &out)
 	}
 	return out
 }
@@ -209,7 +210,7 @@
 	if b == nil {
 		return out
 	}
-	at := t.nanos(now)
+	at := t.clock(b, now)
 	if !t.accept(sh, b, at, reply) {
 		return out
 	}
--- a/pkg/coordination/limits/lend.go
+++ b/pkg/coordination/limits/lend.go
@@ -39,7 +39,7 @@
 		reply.RetryMillis = maxRetry.Milliseconds()
 		return reply
 	}
-	at := t.nanos(now)
+	at := t.clock(b, now)
 	s := t.touch(b, at)
 	if b.waitedLonger(at, req.WaitedMillis) {
 		reply.RetryMillis = min(max(time.Duration(at-b.busySince)/4, minRetry), busyRetry).Milliseconds()
@@ -100,7 +100,7 @@
 // repeated returns change nothing.
 func (t *Table) Return(now time.Time, m peer.LimitsReturn) Outcome {
 	return t.with(now, m.Customer, func(b *bucket) {
-		at := t.nanos(now)
+		at := t.clock(b, now)
 		t.touch(b, at)
 		t.forgetLoans(b, at)
 		for i, l := range b.loans {
--- a/pkg/coordination/limits/table.go
+++ b/pkg/coordination/limits/table.go
@@ -78,6 +78,11 @@
 
 func (t *Table) nanos(now time.Time) int64 { return int64(now.Sub(t.start)) }
 
+// clock returns a time in nanoseconds that never goes back for a bucket:
+// callers read the time before they wait for the lock of a shard, and a caller
+// that was paused in between must not use tokens by its old time.
+func (t *Table) clock(b *bucket, now time.Time) int64 { return max(t.nanos(now), b.last) }
+
 func (t *Table) shard(customer ids.CustomerID) *tableShard {
 	return &t.shards[maphash.String(t.seed, string(customer))%shardCount]
 }
