--- a/internal/bench/placement/command.go
+++ b/internal/bench/placement/command.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/slope"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
 )
 
@@ -25,11 +26,19 @@
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			printTable(command.OutOrStdout(), rows(options.seed, options.quick))
-			return nil
+			if options.quick {
+				return nil
+			}
+			measured := slopes(options.seed, fmt.Sprintf("wagtailbench placement --seed %d", options.seed))
+			printSlopes(command.OutOrStdout(), measured)
+			if options.out == "" {
+				return nil
+			}
+			return slope.WriteFile(options.out, measured)
 		},
 	}
 	command.Flags().Uint64Var(&options.seed, "seed", 1, "seed of all randomness")
-	command.Flags().BoolVar(&options.quick, "quick", false, "short runs of one policy a deployment")
+	command.Flags().BoolVar(&options.quick, "quick", false, "short runs without slopes")
 	command.Flags().StringVar(&options.out, "out", "", "file for the measured slopes as JSON")
 	return command
 }
@@ -84,3 +93,12 @@
 func (c customerResult) String() string {
 	return fmt.Sprintf("%s %.2f/%.2f/%.2f", c.Customer, c.P50, c.P95, c.P99)
 }
+
+func printSlopes(w io.Writer, all []slope.Slope) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nname\tunit\tpoints\tslope\tintercept\tr2")
+	for _, line := range all {
+		fmt.Fprintf(table, "%s\t%s\t%.4g\t%.4g\t%.4g\t%.3f\n", line.Name, line.Unit, line.Points, line.Slope, line.Intercept, line.R2)
+	}
+	table.Flush()
+}
--- a/pkg/coordination/placement/types.go
+++ b/pkg/coordination/placement/types.go
@@ -41,10 +41,6 @@
 
 // DefaultConfig returns the settings in use for a policy.
 func DefaultConfig(policy records.Policy) Config {
-	backlog := latencyBacklog
-	if policy == records.PolicyThroughput {
-		backlog = throughputBacklog
-	}
 	return Config{
 		Policy:       policy,
 		ReportLag:    3 * time.Second,
@@ -53,21 +49,18 @@
 		BackoffFirst: time.Second,
 		BackoffMost:  30 * time.Second,
 		HomeTerm:     10 * time.Second,
-		Patience:     time.Second,
+		Patience:     300 * time.Millisecond,
 		SendTerm:     2 * time.Second,
 		OrderTerm:    15 * time.Second,
 
-		ReplicaBacklog: backlog,
+		ReplicaBacklog: replicaBacklog,
 		CrowdedTerm:    2 * time.Second,
 	}
 }
 
-// The latency policy replicates before a batch's worth of requests waits; the
-// throughput policy keeps requests together until more than a batch waits.
-const (
-	latencyBacklog    = 0.25
-	throughputBacklog = 1.0
-)
+// replicaBacklog lets a quarter of a batch wait before another copy is loaded.
+// With a whole batch, hot adapters waited for seconds behind full holders.
+const replicaBacklog = 0.25
 
 // Report is an engine's load report. Engines publish it with a lag.
 type Report struct {
--- a/pkg/coordination/routing/profile.go
+++ b/pkg/coordination/routing/profile.go
@@ -19,15 +19,12 @@
 }
 
 // ModelProfile returns the chain for requests to a model, sent only where the
-// exact adapter version is resident.
-func ModelProfile(policy records.Policy) Profile {
-	weights := latencyWeights
-	if policy == records.PolicyThroughput {
-		weights = throughputWeights
-	}
+// exact adapter version is resident. Both policies use the same weights:
+// filling one replica before the next made batches slower and served less.
+func ModelProfile(_ records.Policy) Profile {
 	return Profile{
 		Filters: []Filter{NotTried{}, Serving{}, Reachable{}, OfKind{}, ExactVersion{}, HasRoom{}},
-		Scorers: weights.scorers(),
+		Scorers: modelWeights.scorers(),
 		Picker:  BestOfTwo{},
 	}
 }
@@ -46,12 +43,7 @@
 	pinned, load, distance, prefix float64
 }
 
-// The latency policy spreads requests over replicas; the throughput policy
-// fills the batch of one replica before it uses the next.
-var (
-	latencyWeights    = scoreWeights{pinned: 3, load: 2, distance: 0.5, prefix: 1}
-	throughputWeights = scoreWeights{pinned: 3, load: -0.5, distance: 0.5, prefix: 1}
-)
+var modelWeights = scoreWeights{pinned: 3, load: 2, distance: 0.5, prefix: 1}
 
 func (w scoreWeights) scorers() []WeightedScorer {
 	return []WeightedScorer{
