--- a/internal/bench/placement/fleet.go
+++ b/internal/bench/placement/fleet.go
@@ -299,34 +299,57 @@
 	})
 }
 
-// askPins asks the owners of endpoints for pins, one ask at a time for each.
+// askPins asks the owners of endpoints for pins, with one message to each owner
+// and one ask at a time for each pin.
 func (v *vm) askPins(keys []peer.PinKey) {
 	f := v.fleet
+	byOwner := make(map[ids.VMID][]peer.PinKey)
 	for _, key := range keys {
 		owner, ok := f.ownerOf(key.Endpoint)
 		if !ok || v.asking[key] {
 			continue
 		}
 		v.asking[key] = true
-		askedAt := f.now()
-		request := peer.PinsAcquireRequest{Sender: v.id, Sequence: v.holder.NextSequence(), Revision: f.list.Revision, Pins: []peer.PinKey{key}}
-		grant := func(to *vm) {
-			reply := to.table.Grant(f.now(), request, to.planner.Resident)
-			to.send(v.id, peer.MethodPinsAcquire, reply, func(*vm) {
-				delete(v.asking, key)
-				v.holder.Granted(f.now(), askedAt, request.Sequence, reply.Grants)
-				if reply.Grants[0].Refusal == peer.PinNotResident && to != v {
-					v.planner.Missing(key.Endpoint, "boot", key.Ref)
-				}
-				// The answer may come within a Pop, so waking waits for an event.
-				f.world.after(0, func() {
-					v.queue.Wake(key.Ref)
-					v.dispatch()
-				})
-			})
+		byOwner[owner] = append(byOwner[owner], key)
+	}
+	if len(byOwner) == 0 {
+		return
+	}
+	for _, other := range f.vms {
+		if len(byOwner[other.id]) > 0 {
+			v.askOwner(other.id, byOwner[other.id])
+		}
+	}
+}
+
+func (v *vm) askOwner(owner ids.VMID, keys []peer.PinKey) {
+	f := v.fleet
+	askedAt := f.now()
+	request := peer.PinsAcquireRequest{Sender: v.id, Sequence: v.holder.NextSequence(), Revision: f.list.Revision, Pins: keys}
+	v.send(owner, peer.MethodPinsAcquire, request, func(to *vm) {
+		reply := to.table.Grant(f.now(), request, to.planner.Resident)
+		to.send(v.id, peer.MethodPinsAcquire, reply, func(*vm) {
+			v.holder.Granted(f.now(), askedAt, request.Sequence, reply.Grants)
+			v.tookGrants(owner, reply.Grants)
+		})
+	})
+}
+
+// tookGrants notes refusals and wakes what waited for the pins. The answer may
+// come within a Pop, so waking waits for an event of its own.
+func (v *vm) tookGrants(owner ids.VMID, grants []peer.PinGrant) {
+	for _, grant := range grants {
+		delete(v.asking, grant.Pin)
+		if grant.Refusal == peer.PinNotResident && owner != v.id {
+			v.planner.Missing(grant.Pin.Endpoint, "boot", grant.Pin.Ref)
 		}
-		v.send(owner, peer.MethodPinsAcquire, request, grant)
 	}
+	v.fleet.world.after(0, func() {
+		for _, grant := range grants {
+			v.queue.Wake(grant.Pin.Ref)
+		}
+		v.dispatch()
+	})
 }
 
 func (f *fleet) ownerOf(id ids.EndpointID) (ids.VMID, bool) {
--- a/internal/bench/placement/slopes.go
+++ b/internal/bench/placement/slopes.go
@@ -11,6 +11,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/routing"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/platformapi"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
 )
 
@@ -95,13 +96,14 @@
 // a run of one data centre.
 func measure(seed uint64, workers, adapters int) cost {
 	var out cost
-	before := heapBytes()
 	f := newFleet(sized(regionCentres, workers, adapters), seed)
-	v := f.vms[0]
+	// One more VM, so that its memory is counted without the model's.
+	before := heapBytes()
+	f.add("measured", 0, f.vms[0].budget, seed)
+	v := f.vms[len(f.vms)-1]
+	f.list.VMs = append(f.list.VMs, platformapi.VM{ID: v.id, DataCentre: dataCentreID(0), State: platformapi.VMLive})
 	v.learn()
 	out.memory = heapBytes() - before
-	// Engines and the other VMs are part of the model, not of the VM.
-	out.memory -= f.modelBytes(seed, workers, adapters)
 	out.pick = v.timePicks(seed)
 	out.home = v.timeHomes()
 	out.plan = v.timePlans()
@@ -109,18 +111,6 @@
 	return out
 }
 
-// modelBytes is what the same model takes without what the VM learnt.
-func (f *fleet) modelBytes(seed uint64, workers, adapters int) float64 {
-	before := heapBytes()
-	other := newFleet(sized(regionCentres, workers, adapters), seed)
-	own := *other.vms[0]
-	other.vms[0] = nil
-	other.byID[own.id] = nil
-	size := heapBytes() - before
-	runtime.KeepAlive(other)
-	return size
-}
-
 // learn gives a VM the reports of all engines, and a pin on what is resident in
 // its own data centre.
 func (v *vm) learn() {
