--- a/pkg/transport/callers/passthrough.go
+++ b/pkg/transport/callers/passthrough.go
@@ -81,6 +81,11 @@
 		return call, refusal
 	}
 	call.Header = forwardedHeader(r.Header, key)
+	if key != "" && strings.Contains(string(call.Request), key) {
+		// The refusal must not carry the key either.
+		call.Request = ""
+		return call, keyPresent()
+	}
 	return call, checkKeyAbsent(call, key)
 }
 
@@ -120,13 +125,16 @@
 	if key == "" {
 		return nil
 	}
-	inName := strings.Contains(string(call.Request), key) || strings.Contains(call.Target, key)
-	if inName || bytes.Contains(call.Body, []byte(key)) {
-		return NotRun(inferencev1.Reason_REASON_MALFORMED, "the request id, path or body contains the caller's key, which endpoints must not see")
+	if strings.Contains(call.Target, key) || bytes.Contains(call.Body, []byte(key)) {
+		return keyPresent()
 	}
 	return nil
 }
 
+func keyPresent() *Refusal {
+	return NotRun(inferencev1.Reason_REASON_MALFORMED, "the request id, path or body contains the caller's key, which endpoints must not see")
+}
+
 func writeAnswer(w http.ResponseWriter, request ids.RequestID, answer CallAnswer) {
 	header := w.Header()
 	for name, values := range answer.Header {
