--- a/pkg/coordination/limits/table.go
+++ b/pkg/coordination/limits/table.go
@@ -78,6 +78,11 @@
 
 func (t *Table) nanos(now time.Time) int64 { return int64(now.Sub(t.start)) }
 
+// clock returns a time in nanoseconds that never goes back for a bucket:
+// callers read the time before they wait for the lock of a shard, and a caller
+// that was paused in between must not use tokens by its old time.
+func (t *Table) clock(b *bucket, now time.Time) int64 { return max(t.nanos(now), b.last) }
+
 func (t *Table) shard(customer ids.CustomerID) *tableShard {
 	return &t.shards[maphash.String(t.seed, string(customer))%shardCount]
 }
@@ -137,7 +142,7 @@
 	} else {
 		t.touch(b, at)
 	}
-	b.policy = p
+	b.policy, b.weights = p, p.weights()
 	b.target = p.fraction(t.dc)
 	b.inForce = min(b.inForce, b.target)
 	t.touch(b, at)
