Count real ask numbers in the bytes and show what MaxWait trades

Cause: daemons number asks from the clock, which makes messages longer than the simulation counted; the wait is a policy that deployments choose.

--- a/internal/bench/limits/cases.go
+++ b/internal/bench/limits/cases.go
@@ -116,11 +116,14 @@
 	names     int
 }
 
-// RunCase simulates one case with one method for a time.
-func RunCase(c Case, shape Shape, method Method, length time.Duration, seed uint64) Result {
+// RunCase simulates one case with one method for a time. Requests wait for
+// tokens up to the given bound.
+func RunCase(c Case, shape Shape, method Method, wait, length time.Duration, seed uint64) Result {
+	cfg := limits.DefaultConfig()
+	cfg.MaxWait = wait
 	e := &experiment{
 		c: c, shape: shape, method: method, length: length,
-		fleet:  NewFleet(limits.DefaultConfig(), DefaultNetwork(), seed, limits.New),
+		fleet:  NewFleet(cfg, DefaultNetwork(), seed, limits.New),
 		rng:    rand.New(rand.NewPCG(seed, 2)),
 		slots:  make([]*Node, shape.VMs),
 		dcs:    map[ids.DataCentreID]limits.DataCentre{},
--- a/internal/bench/limits/command.go
+++ b/internal/bench/limits/command.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/slope"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/limits"
 )
 
 // options are the flags of the subcommand.
@@ -20,6 +21,8 @@
 	quick bool
 	seed  uint64
 	out   string
+	// wait is how long requests wait for tokens in the table.
+	wait time.Duration
 }
 
 // Times simulated for each line of the table.
@@ -39,6 +42,7 @@
 	}
 	c.Flags().BoolVar(&o.quick, "quick", false, "shorter runs and fewer sizes, for CI")
 	c.Flags().Uint64Var(&o.seed, "seed", 1, "seed of all random choices")
+	c.Flags().DurationVar(&o.wait, "max-wait", limits.DefaultConfig().MaxWait, "how long requests of the table wait for tokens")
 	c.Flags().StringVar(&o.out, "out", "", "write the slopes as JSON to this file")
 	return c
 }
@@ -77,7 +81,7 @@
 	for _, shape := range []Shape{{VMs: 8, Centres: 4}, {VMs: 6, Centres: 3}} {
 		for _, c := range Cases() {
 			for _, m := range []Method{Static, GCRA, Transfer} {
-				results = append(results, RunCase(c, shape, m, length, o.seed))
+				results = append(results, RunCase(c, shape, m, o.wait, length, o.seed))
 			}
 		}
 	}
--- a/internal/bench/limits/command_test.go
+++ b/internal/bench/limits/command_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -16,14 +17,14 @@
 func TestQuickExperiment(t *testing.T) {
 	out := filepath.Join(t.TempDir(), "slopes.json")
 	var printed bytes.Buffer
-	assert.NilError(t, run(&printed, options{quick: true, seed: 1, out: out}))
+	assert.NilError(t, run(&printed, options{quick: true, seed: 1, wait: time.Second, out: out}))
 	slopes, err := slope.ReadFile(out)
 	assert.NilError(t, err)
 	for _, s := range slopes {
 		assert.Assert(t, len(s.Points) >= 2 && s.Name != "" && s.Unit != "" && s.Command != "", "slope %q is incomplete", s.Name)
 	}
 	static := map[string]float64{}
-	for _, r := range Table(options{quick: true, seed: 1}) {
+	for _, r := range Table(options{quick: true, seed: 1, wait: time.Second}) {
 		assert.Equal(t, r.Excess, 0.0)
 		switch r.Method {
 		case Static:
--- a/internal/bench/limits/sim.go
+++ b/internal/bench/limits/sim.go
@@ -90,10 +90,13 @@
 
 // NewFleet returns a fleet without VMs at time 0.
 func NewFleet(cfg limits.Config, network Network, seed uint64, table NewTable) *Fleet {
+	epoch := time.Unix(1_700_000_000, 0)
+	// As in daemons; the length of the numbers counts in the bytes.
+	cfg.FirstAsk = uint64(epoch.UnixNano())
 	return &Fleet{
 		Config: cfg, Network: network, make: table,
 		rng:    rand.New(rand.NewPCG(seed, 1)),
-		epoch:  time.Unix(1_700_000_000, 0),
+		epoch:  epoch,
 		Grants: map[ids.CustomerID][]*Grant{},
 		Limits: map[ids.CustomerID][]Limit{},
 		byID:   map[ids.VMID]*Node{},
@@ -357,7 +360,8 @@
 
 // borrow sends an ask and its reply.
 func (f *Fleet) borrow(n *Node, ask limits.Ask) {
-	f.count(call(peer.MethodLimitsBorrow, ask.Request.Ask, ask.Request))
+	id := uint64(f.Messages)
+	f.count(call(peer.MethodLimitsBorrow, id, ask.Request))
 	to := f.node(ask.To)
 	if to == nil {
 		return
@@ -366,7 +370,7 @@
 		begin := time.Now()
 		reply := to.Table.Lend(f.Clock(), ask.Request)
 		f.Spent += time.Since(begin)
-		f.count(result(ask.Request.Ask, reply))
+		f.count(result(id, reply))
 		f.send(to, n, func() {
 			begin := time.Now()
 			received := n.Table.Receive(f.Clock(), reply)
