--- a/pkg/coordination/placement/teller.go
+++ b/pkg/coordination/placement/teller.go
@@ -37,7 +37,8 @@
 }
 
 // Due takes all demand of the VM and returns what to tell the owners of the
-// endpoints in it. Demand that has gone or moved is told with zero requests.
+// endpoints in it. Demand that has gone or moved is told with zero requests;
+// that of gone demand has no Sender, as the message names it.
 func (t *Teller) Due(now time.Time, all []Waiting) []Waiting {
 	var due []Waiting
 	present := make(map[demandPart]bool, len(all))
