Bound the collector's headroom by a setting

Cause: the collector's headroom alone took an idle daemon with 12,000 adapters, customers and keys above the 64 MB that control may take. Change: limits.memoryBytes (48 MiB) is the runtime's soft memory limit, unless GOMEMLIMIT is set.

--- a/cmd/wagtailspoked/main.go
+++ b/cmd/wagtailspoked/main.go
@@ -80,6 +80,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(entry.Limits.MemoryBytes)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	context.AfterFunc(ctx, stop)
--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -44,6 +44,8 @@
 	maxIDBytes   = 128
 	maxTimeout   = 600_000
 	minBodyBytes = 1 << 10
+	minMemory    = 16 << 20
+	maxMemory    = 1 << 40
 	maxBodyBytes = 64 << 20
 	maxRequests  = 1_000_000
 	maxConns     = 65_536
@@ -76,6 +78,7 @@
 		number("timeouts.drainMillis", "longest graceful shutdown", &e.Timeouts.Drain, 10, maxTimeout),
 		number("timeouts.drainGraceMillis", "shortest graceful shutdown", &e.Timeouts.DrainGrace, 0, maxTimeout),
 		number("limits.maxBodyBytes", "largest request body", &e.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes),
+		number("limits.memoryBytes", "memory from which the collector works harder", &e.Limits.MemoryBytes, minMemory, maxMemory),
 		number("limits.maxQueued", "requests that wait at once", &e.Limits.MaxQueued, 1, maxRequests),
 		number("limits.maxOpenRequests", "requests open at once", &e.Limits.MaxOpenRequests, 1, maxRequests),
 		number("limits.maxEndpointConnections", "connections to one endpoint", &e.Limits.MaxEndpointConnections, 1, maxConns),
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -86,6 +86,9 @@
 // Limits bounds what the daemon holds.
 type Limits struct {
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
+	// MemoryBytes is the size from which the collector works harder. It is no
+	// hard bound.
+	MemoryBytes int64 `json:"memoryBytes"`
 	// MaxQueued is the number of requests that wait at once; more are refused.
 	MaxQueued int64 `json:"maxQueued"`
 	// MaxOpenRequests is the number of requests that are open at once.
@@ -128,6 +131,7 @@
 		},
 		Limits: Limits{
 			MaxBodyBytes:           1 << 20,
+			MemoryBytes:            48 << 20,
 			MaxQueued:              10_000,
 			MaxOpenRequests:        20_000,
 			MaxEndpointConnections: 256,
