Follow a changed route policy in the queue and weights in the planner

Cause: the queue of a base model kept the policy of its first request, and the planner ignored customers' weights. Change: queues are kept by base model and policy, so a changed policy counts for new requests; weights go to the planner too. Conclusion: the planner's own policy is still fixed at the start, since placement offers no way to change it.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -97,7 +97,7 @@
 	platform *platform.Client
 
 	queueMu sync.Mutex
-	queues  map[string]*modelQueue
+	queues  map[queueKey]*modelQueue
 
 	// applyMu is held while records or lists are applied to all parts.
 	applyMu sync.Mutex
@@ -152,7 +152,7 @@
 		members:  membership.New(entry.VMID, entry.DataCentre),
 		holder:   ownership.NewHolder(options.Terms),
 		planner:  placement.NewPlanner(placement.DefaultConfig(records.PolicyLatency)),
-		queues:   make(map[string]*modelQueue),
+		queues:   make(map[queueKey]*modelQueue),
 		platform: platform.New("http://"+entry.Platform.Address, source.HTTPClient(entry.Source)),
 	}
 	redactor.SetKnown(d.isKeyHash)
@@ -335,14 +335,22 @@
 	return request + "-" + ids.RequestID(mark)
 }
 
+// queueKey names a queue. After a route's policy changed, new requests wait in
+// a queue of the new policy while the old one runs empty.
+type queueKey struct {
+	baseModel string
+	policy    records.Policy
+}
+
 // queueOf returns the queue of a base model and starts it on first use.
 func (d *Daemon) queueOf(baseModel string, policy records.Policy) *modelQueue {
 	d.queueMu.Lock()
 	defer d.queueMu.Unlock()
-	queue, ok := d.queues[baseModel]
+	key := queueKey{baseModel: baseModel, policy: policy}
+	queue, ok := d.queues[key]
 	if !ok {
 		queue = newModelQueue(d, baseModel, policy)
-		d.queues[baseModel] = queue
+		d.queues[key] = queue
 		for _, id := range d.catalog.View().Customers() {
 			if customer, known := d.catalog.View().Customer(id); known {
 				queue.queue.SetWeight(id, customer.Weight)
--- a/pkg/daemon/records.go
+++ b/pkg/daemon/records.go
@@ -123,6 +123,7 @@
 			Burst:       customer.BurstTokens,
 			DataCentres: customerShares(shared, customer),
 		})
+		d.planner.SetWeight(id, customer.Weight)
 		for _, queue := range d.allQueues() {
 			queue.queue.SetWeight(id, customer.Weight)
 		}
