Make the routing test independent of map order

Cause: the counts without a filter changed between runs, 525 and 528, because reports listed adapters in map order. Change: sort them.

--- a/pkg/coordination/routing/routing_test.go
+++ b/pkg/coordination/routing/routing_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,6 +63,7 @@
 	for ref := range e.resident {
 		r.Resident = append(r.Resident, ref)
 	}
+	slices.SortFunc(r.Resident, func(a, b ids.AdapterRef) int { return strings.Compare(a.String(), b.String()) })
 	return r
 }
 
