End every charge and report waiting for tokens as over the rate

Cause: charges without an unused part were never settled, so that each left a mark in its bucket; a caller whose deadline passed while it waited for tokens was counted as a failure of the service, so that a flooding customer burned availability. Change: refund is called for every charge, also with zero; a deadline that passes while a request waits for tokens is RATE_EXCEEDED.

--- a/pkg/daemon/generate.go
+++ b/pkg/daemon/generate.go
@@ -244,8 +244,8 @@
 	case refusal.Outcome == inferencev1.Outcome_OUTCOME_NOT_RUN:
 		unused = g.cost
 	}
+	g.daemon.tokens.refund(g.charge, unused)
 	if unused > 0 {
-		g.daemon.tokens.refund(g.charge, unused)
 		g.queue.queue.Settle(g.asked.Identity.Customer, unused)
 	}
 }
--- a/pkg/daemon/service.go
+++ b/pkg/daemon/service.go
@@ -107,9 +107,11 @@
 		s.charge = charge
 	}
 	answer, refusal := s.claimed(ctx)
+	unused := int64(0)
 	if refusal != nil && refusal.Outcome == inferencev1.Outcome_OUTCOME_NOT_RUN {
-		d.tokens.refund(s.charge, serviceCallTokens)
+		unused = serviceCallTokens
 	}
+	d.tokens.refund(s.charge, unused)
 	return answer, refusal
 }
 
--- a/pkg/daemon/tokens.go
+++ b/pkg/daemon/tokens.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -64,10 +65,20 @@
 		return nil, refusalOfLimits(end.refusal.Reason, end.refusal.RetryAfter)
 	case <-ctx.Done():
 		t.cancel(customer, decision.Ticket, wait)
-		return nil, callers.NotRun(inferencev1.Reason_REASON_DEADLINE, "the caller left while its request waited for tokens")
+		return nil, refusalWhileWaiting(ctx)
 	}
 }
 
+// refusalWhileWaiting tells why a request that waited for tokens does not run.
+// A deadline that passed meanwhile is the customer's rate at work, not a
+// failure of the service.
+func refusalWhileWaiting(ctx context.Context) *callers.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return callers.NotRun(inferencev1.Reason_REASON_RATE_EXCEEDED, "the customer's tokens did not suffice before the deadline")
+	}
+	return callers.NotRun(inferencev1.Reason_REASON_DEADLINE, "the caller left while its request waited for tokens")
+}
+
 func (t *tokens) register(ticket limits.Ticket) chan verdict {
 	wait := make(chan verdict, 1)
 	t.mu.Lock()
@@ -102,9 +113,10 @@
 	})
 }
 
-// refund gives back the unused part of a charge.
+// refund ends a charge and gives back its unused part, which may be zero. The
+// table keeps a mark for each charge until then.
 func (t *tokens) refund(charge *limits.Charge, unused int64) {
-	if charge == nil || unused <= 0 {
+	if charge == nil {
 		return
 	}
 	_, outcome := t.table.Refund(time.Now(), charge, unused)
