Keep part of the store's rights for customers within their share

Cause: the gate of the daemon took all loads alike, sent orders that a pause had made old, and gave up asking former owners when the list moved on. Change: the gate implements SpareTaker by the fill of the store's bucket; orders are dropped after SendBy; pending handovers are asked for each second, grouped by the revision of the gain.

--- a/pkg/coordination/limits/table.go
+++ b/pkg/coordination/limits/table.go
@@ -229,6 +229,23 @@
 	return snap
 }
 
+// Fill returns how full this VM's bucket of a customer is, from 0 to 1. It is 0
+// for a customer without a policy or a share.
+func (t *Table) Fill(now time.Time, customer ids.CustomerID) float64 {
+	sh := t.shard(customer)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	b := sh.buckets[customer]
+	if b == nil {
+		return 0
+	}
+	state := t.state(b, t.clock(b, now))
+	if state.Cap <= 0 {
+		return 0
+	}
+	return state.Level / state.Cap
+}
+
 func (t *Table) state(b *bucket, now int64) CustomerState {
 	s := t.touch(b, now)
 	state := CustomerState{
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -441,6 +441,7 @@
 			d.relay.SetLoad(uint32(d.gate.open()))
 			d.metrics.update(now)
 			d.owner.upkeep(now)
+			d.owner.askFormerOwners(d.table.PendingHandovers(now))
 		case now := <-sweep.C:
 			d.table.Sweep(now)
 			d.planner.Sweep(now)
--- a/pkg/daemon/owner.go
+++ b/pkg/daemon/owner.go
@@ -25,15 +25,21 @@
 	probeFailures = 2
 	// planInterval is how often the planner is asked while demand may wait.
 	planInterval = 50 * time.Millisecond
-	// handoverTries and handoverPause bound the asking of former owners; after
-	// that the waits of the table run out by themselves.
-	handoverTries = 10
-	handoverPause = time.Second
 	// interestTerm is how long a VM that told demand is told of the load.
 	interestTerm = 30 * time.Second
 )
 
-var errFenceChanged = errors.New("the fencing token changed since the order was planned")
+// Reasons to drop an order right before it leaves.
+var (
+	errFenceChanged = errors.New("the fencing token changed since the order was planned")
+	errOrderLate    = errors.New("the order was planned too long ago")
+)
+
+// late tells whether an order may no longer leave, as after a pause of the
+// process. An order without a bound is sent at once.
+func late(order placement.Order, now time.Time) bool {
+	return !order.SendBy.IsZero() && now.After(order.SendBy)
+}
 
 // owner gives orders to the endpoints that this VM owns, and asks the owners
 // of others for pins and loads.
@@ -142,6 +148,9 @@
 	var sentAt time.Time
 	failure := d.engines.Load(d.ctx, engines.Endpoint{ID: order.Endpoint, Address: endpoint.Address}, order.Fence, order.Ref, version.Source, func() error {
 		sentAt = time.Now()
+		if late(order, sentAt) {
+			return errOrderLate
+		}
 		fence, err := d.table.MayLoad(sentAt, order.Endpoint)
 		if err == nil && fence != order.Fence {
 			err = errFenceChanged
@@ -188,7 +197,11 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.options.Terms.OrderSettle)
 	defer cancel()
 	failure := d.engines.Unload(ctx, engines.Endpoint{ID: order.Endpoint, Address: endpoint.Address}, order.Fence, order.Ref, func() error {
-		fence, err := d.table.BeginEvict(time.Now(), order.Endpoint, order.Ref)
+		now := time.Now()
+		if late(order, now) {
+			return errOrderLate
+		}
+		fence, err := d.table.BeginEvict(now, order.Endpoint, order.Ref)
 		if err == nil && fence != order.Fence {
 			d.table.EndEvict(order.Endpoint, order.Ref)
 			err = errFenceChanged
@@ -279,7 +292,6 @@
 
 // changed acts on changes of ownership.
 func (o *owner) changed(changes []ownership.Change) {
-	asked := make(map[ids.VMID][]ownership.Change)
 	for _, change := range changes {
 		if change.Kind != ownership.Gained {
 			continue
@@ -287,35 +299,47 @@
 		if endpoint, published := o.daemon.catalog.View().Endpoint(change.Endpoint); published {
 			o.daemon.spawn(func() { o.probe(endpoint) })
 		}
+	}
+	o.askFormerOwners(changes)
+}
+
+// askFormerOwners asks for the rights that may still run on gained endpoints.
+// It is called with new changes at once, and each second with those whose
+// answers are missing, because questions and answers may be lost.
+func (o *owner) askFormerOwners(changes []ownership.Change) {
+	asked := make(map[handoverAsk][]ids.EndpointID)
+	for _, change := range changes {
+		if change.Kind != ownership.Gained {
+			continue
+		}
 		for _, vm := range change.Ask {
-			asked[vm] = append(asked[vm], change)
+			ask := handoverAsk{vm: vm, revision: change.Revision}
+			asked[ask] = append(asked[ask], change.Endpoint)
 		}
 	}
-	for vm, gained := range asked {
-		o.daemon.spawn(func() { o.askHandover(vm, gained) })
+	for ask, endpoints := range asked {
+		o.daemon.spawn(func() { o.askHandover(ask, endpoints) })
 	}
 }
 
-// askHandover asks a former owner for its pins until it answers or the list
-// has moved on.
-func (o *owner) askHandover(vm ids.VMID, gained []ownership.Change) {
+// handoverAsk is a former owner with the list revision at which this VM gained
+// the endpoints that it is asked for.
+type handoverAsk struct {
+	vm       ids.VMID
+	revision ids.Revision
+}
+
+// askHandover asks a former owner for its rights.
+func (o *owner) askHandover(ask handoverAsk, endpoints []ids.EndpointID) {
 	d := o.daemon
-	request := peer.HandoverRequest{Sender: d.settings.VMID, Boot: d.boot, Revision: gained[0].Revision}
-	for _, change := range gained {
-		request.Endpoints = append(request.Endpoints, change.Endpoint)
-	}
-	for range handoverTries {
-		reply, err := peers.Call[peer.HandoverReply](d.ctx, d.peers, vm, peer.MethodOwnerHandover, d.peerTimeout(vm), request)
-		if err == nil {
-			o.changed(d.table.ReceiveHandover(time.Now(), reply))
-			o.wake()
-			return
-		}
-		if d.ctx.Err() != nil || d.members.List().Revision != request.Revision {
-			return
-		}
-		sleep(d.ctx, handoverPause)
+	request := peer.HandoverRequest{Sender: d.settings.VMID, Boot: d.boot, Revision: ask.revision, Endpoints: endpoints}
+	reply, err := peers.Call[peer.HandoverReply](d.ctx, d.peers, ask.vm, peer.MethodOwnerHandover, d.peerTimeout(ask.vm), request)
+	if err != nil {
+		d.at("ask for handover", string(ask.vm)).WithError(err).Debug("no answer")
+		return
 	}
+	o.changed(d.table.ReceiveHandover(time.Now(), reply))
+	o.wake()
 }
 
 // acquirePins asks the owners of endpoints for pins.
--- a/pkg/daemon/store.go
+++ b/pkg/daemon/store.go
@@ -57,6 +57,15 @@
 	return true
 }
 
+// TakeSpareLoad implements placement.SpareTaker. The fill of this VM's bucket
+// stands for that of the fleet, because VMs lend each other the store's tokens.
+func (r *loadRights) TakeSpareLoad(now time.Time, reserve float64) bool {
+	if r.daemon.tokens.table.Fill(now, limits.StoreLoads) < reserve {
+		return false
+	}
+	return r.TakeLoad(now)
+}
+
 // EndLoad implements part of placement.Gate. Rights are alike, so it ends any
 // of those in use.
 func (r *loadRights) EndLoad(now time.Time, used, known bool) {
