Let the route's policy reach the planner

Cause: the planner favoured latency whatever the route of model requests said, so that the published policy changed queues only. Change: Planner.SetPolicy, called when a route record changes. Conclusion: one published setting now governs queues and loads.

--- a/pkg/coordination/placement/plan.go
+++ b/pkg/coordination/placement/plan.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
-	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
 )
 
 // orderBook numbers the orders in flight.
@@ -96,7 +95,7 @@
 	least := p.demand.leastServed(needs)
 	for i := range needs {
 		needs[i].rank = least[i]
-		if p.cfg.Policy == records.PolicyThroughput {
+		if p.throughput() {
 			needs[i].rank -= batchCredit * float64(needs[i].requests-1)
 		}
 	}
@@ -147,7 +146,7 @@
 // ripe tells whether a need is worth a load now. The throughput policy lets a
 // few requests wait, so that one load serves more of them.
 func (p *Planner) ripe(now time.Time, n need) bool {
-	if p.cfg.Policy != records.PolicyThroughput {
+	if !p.throughput() {
 		return true
 	}
 	return n.requests > 1 || now.Sub(n.since) >= p.cfg.Patience
--- a/pkg/coordination/placement/planner.go
+++ b/pkg/coordination/placement/planner.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
@@ -20,6 +21,8 @@
 type Planner struct {
 	cfg   Config
 	rules rules
+	// policy starts as that of the configuration.
+	policy atomic.Value
 
 	mu      sync.RWMutex
 	engines map[ids.EndpointID]*engine
@@ -41,6 +44,7 @@
 		engines: make(map[ids.EndpointID]*engine),
 		demand:  newDemandBook(cfg.DemandTerm),
 	}
+	p.policy.Store(cfg.Policy)
 	p.places.init()
 	p.homes.init(cfg.HomeTerm)
 	p.backoff.init(cfg.BackoffFirst, cfg.BackoffMost)
@@ -48,6 +52,16 @@
 	return p
 }
 
+// SetPolicy changes what the planner favours. The daemon calls it when the
+// route of model requests changes.
+func (p *Planner) SetPolicy(policy records.Policy) {
+	p.policy.Store(policy)
+}
+
+func (p *Planner) throughput() bool {
+	return p.policy.Load() == records.PolicyThroughput
+}
+
 // SetEndpoint adds or changes a model endpoint of the region. The daemon calls
 // it when a record changes. An endpoint that is leaving, or that is new under
 // another address, takes no new work at once.
--- a/pkg/coordination/placement/planner_test.go
+++ b/pkg/coordination/placement/planner_test.go
@@ -187,6 +187,17 @@
 	assert.Equal(t, small, 4)
 }
 
+// Guards against a published policy that reaches the planner at a restart only.
+func TestPolicyMayChangeWhileRunning(t *testing.T) {
+	p := plannerOf(1, 4, records.PolicyLatency)
+	p.SetPolicy(records.PolicyThroughput)
+	p.Demand(base, waiting("e0", refOf(1), "vm", "c", 1))
+	gate := &fakeGate{rights: 4}
+	assert.Equal(t, len(p.Plan(base, gate)), 0, "one request must wait for others")
+	p.SetPolicy(records.PolicyLatency)
+	assert.Equal(t, len(p.Plan(base, gate)), 1)
+}
+
 // Guards against many small loads where requests could have waited together.
 func TestThroughputPolicyWaitsForABatch(t *testing.T) {
 	p := plannerOf(1, 4, records.PolicyThroughput)
--- a/pkg/daemon/records.go
+++ b/pkg/daemon/records.go
@@ -62,6 +62,10 @@
 	if kinds[records.KindDataCentre] || kinds[records.KindCustomer] || kinds[records.KindWeightStore] {
 		d.applyLimits(now, applied.Changed)
 	}
+	if kinds[records.KindRoute] {
+		_, route := d.modelRoute()
+		d.planner.SetPolicy(route.Policy)
+	}
 	through := d.catalog.Through()
 	d.tokens.table.ObserveApplied(now, d.settings.VMID, through)
 	d.through.Store(uint64(through))
