--- a/internal/bench/control/control.go
+++ b/internal/bench/control/control.go
@@ -43,6 +43,8 @@
 	customers int
 	vms       int
 	engines   int
+	// remote is the number of endpoint records of another region.
+	remote int
 }
 
 // result is the mean over the VMs of one measurement.
@@ -57,6 +59,7 @@
 	adapterSizes = []int{10, 1_000, 4_000, 12_000}
 	vmSizes      = []int{2, 4, 8, 14}
 	engineSizes  = []int{1, 8, 24, 48}
+	remoteSizes  = []int{1, 5_000, 10_000}
 )
 
 // base is what the series do not vary.
@@ -106,6 +109,8 @@
 			vary: func(s *size, n int) { s.vms = n }, per: func(s size) float64 { return float64(s.vms) }},
 		{name: "owned_endpoint", unit: "endpoint that the VM owns", sizes: engineSizes,
 			vary: func(s *size, n int) { s.engines, s.vms = n, 1 }, per: func(s size) float64 { return float64(s.engines) }},
+		{name: "remote_endpoint", unit: "endpoint of another region, beside 12,000 adapters, customers and keys", sizes: remoteSizes,
+			vary: func(s *size, n int) { s.remote, s.adapters, s.customers = n, 12_000, 12_000 }, per: func(s size) float64 { return float64(s.remote) }},
 	}
 }
 
@@ -218,6 +223,18 @@
 			return err
 		}
 	}
+	if err := put(records.KindDataCentre, "far", 1, records.DataCentre{Region: "far", Seats: 1}); err != nil {
+		return err
+	}
+	for i := range s.remote {
+		spec := records.Endpoint{
+			DataCentre: "far", Kind: records.EndpointModel, Address: "127.0.0.1:1", BaseModel: "base",
+			Slots: engine.DefaultSlots, MaxBatch: engine.DefaultMaxBatch, State: records.EndpointServing,
+		}
+		if err := put(records.KindEndpoint, fmt.Sprintf("far-engine-%d", i), 1, spec); err != nil {
+			return err
+		}
+	}
 	return put(records.KindWeightStore, "store", 1, records.WeightStore{LoadsPerSecond: 3, MaxInFlight: 8})
 }
 
@@ -283,42 +300,59 @@
 	return nil
 }
 
-// watch returns what the VMs spend in the mean over measureTime.
+// watch returns what the VMs spend in the mean over measureTime. Statuses are
+// read outside the measured time, because a status of all customers and
+// endpoints costs more than seconds of idling.
 func watch(ctx context.Context, vms []vm) (result, error) {
-	before, err := totals(ctx, vms)
+	sentBefore, err := peerBytes(ctx, vms)
 	if err != nil {
 		return result{}, err
 	}
+	time.Sleep(time.Second)
+	cpuBefore := cpuSeconds(vms)
 	time.Sleep(measureTime)
-	after, err := totals(ctx, vms)
+	cpu := cpuSeconds(vms) - cpuBefore
+	memory := residentBytes(vms)
+	sentAfter, err := peerBytes(ctx, vms)
 	if err != nil {
 		return result{}, err
 	}
 	count, seconds := float64(len(vms)), measureTime.Seconds()
 	return result{
-		cpu:     100 * (after.cpu - before.cpu) / seconds / count,
-		memory:  after.memory / count,
-		traffic: (after.traffic - before.traffic) / seconds / count,
+		cpu:     100 * cpu / seconds / count,
+		memory:  memory / count,
+		traffic: (sentAfter - sentBefore) / (seconds + 1) / count,
 	}, nil
 }
 
-// totals adds up all VMs: CPU seconds, resident bytes, bytes sent to peers.
-// A VM's links count its requests and the replies to them; over all VMs the
-// replies received are the replies sent.
-func totals(ctx context.Context, vms []vm) (result, error) {
-	var sum result
+// peerBytes adds up the bytes sent to peers. A VM's links count its requests
+// and the replies to them; over all VMs the replies received are those sent.
+func peerBytes(ctx context.Context, vms []vm) (float64, error) {
+	sum := 0.0
 	for _, one := range vms {
 		var status admin.Status
 		if err := one.get(ctx, admin.PathStatus, &status); err != nil {
-			return result{}, err
+			return 0, err
 		}
 		for _, peer := range status.Peers {
-			sum.traffic += float64(peer.BytesOut + peer.BytesIn)
+			sum += float64(peer.BytesOut + peer.BytesIn)
 		}
 	}
+	return sum, nil
+}
+
+func cpuSeconds(vms []vm) float64 {
+	sum := 0.0
 	for _, one := range vms {
-		sum.cpu += proc.CPU(one.command.Process.Pid).Seconds()
-		sum.memory += float64(proc.ResidentBytes(one.command.Process.Pid))
+		sum += proc.CPU(one.command.Process.Pid).Seconds()
 	}
-	return sum, nil
+	return sum
+}
+
+func residentBytes(vms []vm) float64 {
+	sum := 0.0
+	for _, one := range vms {
+		sum += float64(proc.ResidentBytes(one.command.Process.Pid))
+	}
+	return sum
 }
