Fix the seeds of all property tests in one place

Figures: seeds and numbers of checks as before; catalog and lifecycle now name rapid's default of 100. Conclusion: a failing case is repeated with -rapid.seed in every package.

--- a/pkg/coordination/fairqueue/queue_test.go
+++ b/pkg/coordination/fairqueue/queue_test.go
@@ -1,29 +1,20 @@
 package fairqueue
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
 )
 
 // TestMain fixes the seed of rapid, so that each run draws the same cases.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "100"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20261204, 100) }
 
 var base = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/pkg/coordination/idempotency/fleet_test.go
+++ b/pkg/coordination/idempotency/fleet_test.go
@@ -1,9 +1,7 @@
 package idempotency_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config/fleet"
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/idempotency"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/lifecycle"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
@@ -21,20 +20,7 @@
 
 // TestMain fixes the seed of rapid, so that every run gives the same verdict,
 // unless the command line gives another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20260102", "rapid.checks": "12"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20260102, 12) }
 
 // keyState is what the model knows of one key.
 type keyState struct{ ran bool }
--- a/pkg/coordination/lifecycle/lifecycle_test.go
+++ b/pkg/coordination/lifecycle/lifecycle_test.go
@@ -2,25 +2,18 @@
 
 import (
 	"errors"
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/inferencev1"
 )
 
 // TestMain fixes the seed of rapid, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20260104"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20260104, 100) }
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/pkg/coordination/limits/rules_test.go
+++ b/pkg/coordination/limits/rules_test.go
@@ -1,14 +1,13 @@
 package limits_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	sim "github.com/wagtailspoke/wagtailspoke/internal/bench/limits"
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/limits"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
@@ -16,15 +15,7 @@
 
 // TestMain fixes the seed and the size of the property tests, so that CI gives
 // the same verdict every time.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "11", "rapid.checks": "120", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 11, 120) }
 
 // pair is two VMs in two data centres with messages carried by hand. Each has
 // half of 1,000 tokens/s and 4,000 tokens burst.
--- a/pkg/coordination/ownership/sim_rules_test.go
+++ b/pkg/coordination/ownership/sim_rules_test.go
@@ -1,29 +1,20 @@
 package ownership
 
 import (
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/peer"
 )
 
 // TestMain fixes the seed of rapid, so that each run draws the same cases.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "40"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20261204, 40) }
 
 // fault is one thing that goes wrong in a simulated run.
 type fault struct {
--- a/pkg/coordination/relay/relay_test.go
+++ b/pkg/coordination/relay/relay_test.go
@@ -1,9 +1,7 @@
 package relay_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,25 +10,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config/fleet"
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 )
 
 // TestMain fixes the seed of rapid, so that every run gives the same verdict,
 // unless the command line gives another one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.checks": "20"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20260101, 20) }
 
 const watched = "customer/c"
 
--- a/pkg/state/catalog/catalog_test.go
+++ b/pkg/state/catalog/catalog_test.go
@@ -4,27 +4,20 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/platformapi"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/records"
 )
 
 // TestMain fixes the seed of rapid, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20260103"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20260103, 100) }
 
 func record(kind records.Kind, id, schema, spec string) (string, json.RawMessage) {
 	return string(kind) + "/" + id, json.RawMessage(fmt.Sprintf(`{"kind":%q,"schema":%s,"id":%q,"spec":%s}`, kind, schema, id, spec))
