Compute the capacity page from measured slopes

Cause: the target's size must decide the design, so its figures have to come from runs. Change: wagtailbench capacity renders docs/CAPACITY.md from docs/capacity/*.json; a test fails when they disagree, when a slope is missing, or when a size beyond the measured range is not marked.

--- a/cmd/wagtailbench/main.go
+++ b/cmd/wagtailbench/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/bench/capacity"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/config"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/control"
 	"github.com/wagtailspoke/wagtailspoke/internal/bench/faults"
@@ -33,6 +34,7 @@
 // experiments lists the subcommands, one for each package below internal/bench.
 func experiments() []*cobra.Command {
 	return []*cobra.Command{
+		capacity.Command(),
 		config.Command(),
 		control.Command(),
 		faults.Command(),
