Give reports, replies and the demand reporter their usual names

Cause: the read-through met names that need explaining, such as word, homeWord and Teller. Change: peerList, homeReply, decidingVerdict, heldVerdict and DemandReporter; comments follow. Conclusion: no behaviour changes; the tests of the packages pass.

--- a/internal/bench/config/fleet/claims.go
+++ b/internal/bench/config/fleet/claims.go
@@ -82,7 +82,7 @@
 		func() { k.step(func() idempotency.Verdict { return k.claim.OnFailure(f.Now(), home) }) })
 }
 
-// step takes a home's word and acts once the verdict is there.
+// step takes a home's answer and acts once the verdict is there.
 func (k *keyedCall) step(take func() idempotency.Verdict) {
 	if k.claim.Verdict() != idempotency.Pending {
 		take()
--- a/internal/bench/faults/workload.go
+++ b/internal/bench/faults/workload.go
@@ -30,7 +30,7 @@
 	ResultAnswer  Result = "answer"
 	ResultNotRun  Result = "not run"
 	ResultUnknown Result = "unknown"
-	// ResultBroken is a connection that broke without a word, as when the VM
+	// ResultBroken is a connection that broke without an error message, as when the VM
 	// of the caller was killed.
 	ResultBroken Result = "broken"
 )
--- a/internal/bench/placement/fleet.go
+++ b/internal/bench/placement/fleet.go
@@ -61,7 +61,7 @@
 
 	choice   routing.Candidate
 	asking   map[peer.PinKey]bool
-	teller   *placement.Teller
+	reporter *placement.DemandReporter
 	arrivals map[ids.RequestID]arrival
 }
 
@@ -129,7 +129,7 @@
 		profile:  routing.ModelProfile(d.policy),
 		random:   rand.New(rand.NewPCG(seed, 13)),
 		asking:   make(map[peer.PinKey]bool),
-		teller:   placement.NewTeller(placement.DefaultConfig(d.policy).DemandTerm),
+		reporter: placement.NewDemandReporter(placement.DefaultConfig(d.policy).DemandTerm),
 		arrivals: make(map[ids.RequestID]arrival),
 	}
 	v.state = routing.NewState(routing.DefaultStateConfig(dataCentreID(dc), region), v.planner, v)
@@ -389,7 +389,7 @@
 		}
 	}
 	work := make(map[ids.VMID][]peer.WaitingWork)
-	for _, part := range v.teller.Due(now, all) {
+	for _, part := range v.reporter.Due(now, all) {
 		owner, _ := v.fleet.ownerOf(part.Endpoint)
 		work[owner] = append(work[owner], peer.WaitingWork{
 			Endpoint: part.Endpoint, Ref: part.Ref, Customer: part.Customer, Requests: part.Requests, OldestMillis: part.Oldest.Milliseconds(),
--- a/pkg/coordination/idempotency/attempt.go
+++ b/pkg/coordination/idempotency/attempt.go
@@ -124,7 +124,7 @@
 	// list is the revision that homes must not be behind.
 	list ids.Revision
 
-	replies   map[ids.VMID]homeWord
+	replies   map[ids.VMID]homeReply
 	verdict   Verdict
 	answer    *peer.StoredAnswer
 	committed bool
@@ -132,8 +132,8 @@
 	ended     bool
 }
 
-// homeWord is a home's last word on the claim; failed stands for no answer.
-type homeWord struct {
+// homeReply is a home's last answer to the claim; failed stands for no answer.
+type homeReply struct {
 	status peer.ClaimStatus
 	failed bool
 }
@@ -150,7 +150,7 @@
 		homes:   Homes(call.Key, call.Region, list.Live(), regions),
 		begun:   now,
 		list:    list.Revision,
-		replies: make(map[ids.VMID]homeWord),
+		replies: make(map[ids.VMID]homeReply),
 	}
 	switch ageOf(now, call.Key.Key, call.Window) {
 	case keyExpired:
@@ -199,8 +199,8 @@
 	if status == peer.ClaimGranted && a.claimer.rules.sameHomes && !slices.Equal(reply.Homes, a.homes) {
 		status = peer.ClaimOtherHomes
 	}
-	a.replies[reply.Home] = homeWord{status: status}
-	if final := a.finalWord(reply); final != Pending {
+	a.replies[reply.Home] = homeReply{status: status}
+	if final := a.decidingVerdict(reply); final != Pending {
 		a.verdict = final
 		return final
 	}
@@ -213,13 +213,13 @@
 		return a.verdict
 	}
 	if _, answered := a.replies[home]; !answered {
-		a.replies[home] = homeWord{failed: true}
+		a.replies[home] = homeReply{failed: true}
 	}
 	return a.decide(now)
 }
 
-// finalWord returns the verdict that one home's answer settles by itself.
-func (a *Attempt) finalWord(reply peer.ClaimReply) Verdict {
+// decidingVerdict returns the verdict that one home's answer settles by itself.
+func (a *Attempt) decidingVerdict(reply peer.ClaimReply) Verdict {
 	switch reply.Status {
 	case peer.ClaimKeyReused:
 		return KeyReused
@@ -228,12 +228,12 @@
 	case peer.ClaimKeyFromFuture:
 		return KeyFromFuture
 	case peer.ClaimHeld:
-		return a.heldWord(reply)
+		return a.heldVerdict(reply)
 	}
 	return Pending
 }
 
-func (a *Attempt) heldWord(reply peer.ClaimReply) Verdict {
+func (a *Attempt) heldVerdict(reply peer.ClaimReply) Verdict {
 	switch {
 	case reply.State == peer.ClaimStateEnded && reply.Answer != nil && !reply.Answer.Unknown:
 		a.answer = reply.Answer
@@ -259,15 +259,15 @@
 	return heard && state.Boot != holder.Boot
 }
 
-// decide counts the homes' words.
+// decide counts the homes' answers.
 func (a *Attempt) decide(now time.Time) Verdict {
 	granted, held := 0, 0
-	for _, word := range a.replies {
+	for _, reply := range a.replies {
 		switch {
-		case word.failed:
-		case word.status == peer.ClaimGranted:
+		case reply.failed:
+		case reply.status == peer.ClaimGranted:
 			granted++
-		case word.status == peer.ClaimHeld:
+		case reply.status == peer.ClaimHeld:
 			held++
 		}
 	}
--- a/pkg/coordination/membership/membership.go
+++ b/pkg/coordination/membership/membership.go
@@ -221,7 +221,7 @@
 	return nil
 }
 
-// ConfirmList takes word that the platform returned a revision as the newest
+// ConfirmList notes that the platform returned a revision as the newest
 // to a read sent at confirmedAt.
 func (m *Members) ConfirmList(revision ids.Revision, confirmedAt time.Time) {
 	m.mu.Lock()
--- a/pkg/coordination/ownership/authority.go
+++ b/pkg/coordination/ownership/authority.go
@@ -8,8 +8,8 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/platformapi"
 )
 
-// word is what a peer last said about its VM list.
-type word struct {
+// peerList is what a peer last said about its VM list.
+type peerList struct {
 	revision ids.Revision
 	asOf     time.Time
 }
@@ -25,8 +25,8 @@
 	// confirmedAt is the start of the latest platform read that showed list.
 	confirmedAt time.Time
 	// highest is the highest list revision heard of.
-	highest ids.Revision
-	words   map[ids.VMID]word
+	highest   ids.Revision
+	peerLists map[ids.VMID]peerList
 	// touchedAt and wokeAt detect that the process did not run for a while.
 	touchedAt time.Time
 	wokeAt    time.Time
@@ -60,7 +60,7 @@
 }
 
 // hear notes what a peer said. A message that is not the answer to a question
-// may have waited for long, so its word raises the highest revision but
+// may have waited for long, so it raises the highest revision but
 // confirms nothing: it has a zero asOf.
 func (a *authority) hear(peer ids.VMID, revision ids.Revision, asOf time.Time) {
 	if peer == a.self {
@@ -69,8 +69,8 @@
 	if revision > a.highest {
 		a.highest = revision
 	}
-	if known, ok := a.words[peer]; !ok || asOf.After(known.asOf) {
-		a.words[peer] = word{revision: revision, asOf: asOf}
+	if known, ok := a.peerLists[peer]; !ok || asOf.After(known.asOf) {
+		a.peerLists[peer] = peerList{revision: revision, asOf: asOf}
 	}
 	if revision == a.list.Revision {
 		a.confirmBasis(asOf)
@@ -101,7 +101,7 @@
 			continue
 		}
 		peers++
-		said, ok := a.words[vm.ID]
+		said, ok := a.peerLists[vm.ID]
 		if !ok || said.revision != a.list.Revision || now.Sub(said.asOf) > a.terms.AuthorityTerm {
 			return false
 		}
--- a/pkg/coordination/ownership/table.go
+++ b/pkg/coordination/ownership/table.go
@@ -104,7 +104,7 @@
 	t := &Table{cfg: cfg, rules: allRules()}
 	t.view = authority{
 		self: cfg.Self, dataCentre: cfg.DataCentre, terms: cfg.Terms,
-		words: make(map[ids.VMID]word), touchedAt: start, wokeAt: start,
+		peerLists: make(map[ids.VMID]peerList), touchedAt: start, wokeAt: start,
 	}
 	for i := range t.shards {
 		t.shards[i].endpoints = make(map[ids.EndpointID]*endpoint)
@@ -187,10 +187,10 @@
 	return t.settleAll(now)
 }
 
-// ObservePeer takes a peer's word about its list. asOf is a time on this VM's
-// clock at which the word was certainly still true or not yet said, such as
-// the time at which the answered heartbeat was sent. It is zero for the word
-// of a message that answers none of this VM's.
+// ObservePeer takes the list revision that a peer reports. asOf is a time on
+// this VM's clock at which the report was certainly still true or not yet made,
+// such as the time at which the answered heartbeat was sent. It is zero for a
+// message that answers none of this VM's.
 func (t *Table) ObservePeer(now time.Time, from ids.VMID, revision ids.Revision, asOf time.Time) {
 	t.view.mu.Lock()
 	defer t.view.mu.Unlock()
@@ -431,7 +431,7 @@
 	}
 }
 
-// Handover answers a new owner. The word of a higher revision ends this VM's
+// Handover answers a new owner. A higher revision ends this VM's
 // authority and its granting of pins before the answer is made.
 func (t *Table) Handover(now time.Time, request peer.HandoverRequest) peer.HandoverReply {
 	t.view.mu.Lock()
--- a/pkg/coordination/placement/teller.go
+++ b/pkg/coordination/placement/demand_reporter.go
@@ -7,16 +7,16 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 )
 
-// tellAgain is after which part of DemandTerm unchanged demand is told again,
+// reportAgain is after which part of DemandTerm unchanged demand is told again,
 // so that one lost message does not end it.
-const tellAgain = 0.4
+const reportAgain = 0.4
 
-// Teller decides which parts of a VM's demand the owners need to be told: what
-// is new, changed, moved or gone, and the rest only now and then. It is not
-// safe for concurrent use.
-type Teller struct {
+// DemandReporter decides which parts of a VM's demand the owners need to be
+// told: what is new, changed, moved or gone, and the rest only now and then. It
+// is not safe for concurrent use.
+type DemandReporter struct {
 	term time.Duration
-	told map[demandPart]toldPart
+	told map[demandPart]reportedPart
 }
 
 type demandPart struct {
@@ -24,22 +24,22 @@
 	customer ids.CustomerID
 }
 
-type toldPart struct {
+type reportedPart struct {
 	endpoint ids.EndpointID
 	requests int
 	at       time.Time
 }
 
-// NewTeller returns a teller that has told nothing yet. term is the DemandTerm
-// of the owners.
-func NewTeller(term time.Duration) *Teller {
-	return &Teller{term: time.Duration(float64(term) * tellAgain), told: make(map[demandPart]toldPart)}
+// NewDemandReporter returns a reporter that has reported nothing yet. term is
+// the DemandTerm of the owners.
+func NewDemandReporter(term time.Duration) *DemandReporter {
+	return &DemandReporter{term: time.Duration(float64(term) * reportAgain), told: make(map[demandPart]reportedPart)}
 }
 
 // Due takes all demand of the VM and returns what to tell the owners of the
 // endpoints in it. Demand that has gone or moved is told with zero requests;
 // that of gone demand has no Sender, as the message names it.
-func (t *Teller) Due(now time.Time, all []Waiting) []Waiting {
+func (t *DemandReporter) Due(now time.Time, all []Waiting) []Waiting {
 	var due []Waiting
 	present := make(map[demandPart]bool, len(all))
 	for _, w := range all {
@@ -52,7 +52,7 @@
 		if ok && before.endpoint != w.Endpoint {
 			due = append(due, Waiting{Sender: w.Sender, Endpoint: before.endpoint, Ref: w.Ref, Customer: w.Customer})
 		}
-		t.told[part] = toldPart{endpoint: w.Endpoint, requests: w.Requests, at: now}
+		t.told[part] = reportedPart{endpoint: w.Endpoint, requests: w.Requests, at: now}
 		due = append(due, w)
 	}
 	return append(due, t.gone(present)...)
@@ -65,7 +65,7 @@
 	return after < 2*before && before < 2*after || before == after
 }
 
-func (t *Teller) gone(present map[demandPart]bool) []Waiting {
+func (t *DemandReporter) gone(present map[demandPart]bool) []Waiting {
 	var out []Waiting
 	for part, before := range t.told {
 		if !present[part] {
--- a/pkg/coordination/placement/rights_test.go
+++ b/pkg/coordination/placement/rights_test.go
@@ -61,17 +61,17 @@
 // Guards against demand that is told over and over, and against demand that
 // stays with an owner after it has gone or moved.
 func TestTellerTellsChangesOnly(t *testing.T) {
-	teller := NewTeller(5 * time.Second)
+	reporter := NewDemandReporter(5 * time.Second)
 	w := waiting("e0", refOf(1), "v", "c", 2)
-	assert.DeepEqual(t, teller.Due(base, []Waiting{w}), []Waiting{w})
-	assert.Equal(t, len(teller.Due(base.Add(time.Second), []Waiting{w})), 0)
-	assert.DeepEqual(t, teller.Due(base.Add(3*time.Second), []Waiting{w}), []Waiting{w})
+	assert.DeepEqual(t, reporter.Due(base, []Waiting{w}), []Waiting{w})
+	assert.Equal(t, len(reporter.Due(base.Add(time.Second), []Waiting{w})), 0)
+	assert.DeepEqual(t, reporter.Due(base.Add(3*time.Second), []Waiting{w}), []Waiting{w})
 	moved := w
 	moved.Endpoint = "e1"
 	gone := Waiting{Sender: "v", Endpoint: "e0", Ref: refOf(1), Customer: "c"}
-	assert.DeepEqual(t, teller.Due(base.Add(3*time.Second), []Waiting{moved}), []Waiting{gone, moved})
+	assert.DeepEqual(t, reporter.Due(base.Add(3*time.Second), []Waiting{moved}), []Waiting{gone, moved})
 	gone = Waiting{Endpoint: "e1", Ref: refOf(1), Customer: "c"}
-	assert.DeepEqual(t, teller.Due(base.Add(3*time.Second), nil), []Waiting{gone})
+	assert.DeepEqual(t, reporter.Due(base.Add(3*time.Second), nil), []Waiting{gone})
 }
 
 // Guards against all adapters crowding on a few engines, and against homes that
--- a/pkg/coordination/relay/relay.go
+++ b/pkg/coordination/relay/relay.go
@@ -208,7 +208,7 @@
 	return append(actions, r.tickPlatform(now)...)
 }
 
-// confirmRecords takes word that the platform returned a revision as the
+// confirmRecords notes that the platform returned a revision as the
 // newest to a read sent at a moment.
 func (r *Relay) confirmRecords(now time.Time, revision ids.Revision, at time.Time) {
 	if at.IsZero() {
--- a/pkg/daemon/acks.go
+++ b/pkg/daemon/acks.go
@@ -38,7 +38,7 @@
 	b.dataCentres = make(map[ids.DataCentreID]ids.Revision)
 }
 
-// heard takes a VM's own word and the limits part of its heartbeat.
+// heard takes a VM's own revision and the limits part of its heartbeat.
 func (b *appliedBook) heard(now time.Time, beat peer.Heartbeat) {
 	limits := b.daemon.tokens.table
 	limits.ObserveApplied(now, beat.From, beat.Digest.Records)
--- a/pkg/protocol/peer/claims.go
+++ b/pkg/protocol/peer/claims.go
@@ -43,10 +43,10 @@
 	WindowMillis int64 `json:"windowMillis"`
 }
 
-// ClaimStatus is a home's word on a claim.
+// ClaimStatus is a home's answer to a claim.
 type ClaimStatus string
 
-// The words of a home.
+// The answers of a home.
 const (
 	// ClaimGranted counts towards the quorum.
 	ClaimGranted ClaimStatus = "granted"
