Never take a catalog to be complete without its withdrawals

The replacement VM had started from a listing, which shows no withdrawals; its delta to the VM behind lacked them, and that VM took itself to be complete. Ruled out: a lagging view (the revision was current) and the platform (down for all). With more cases it found two more: a delta from revision 0 to a VM that holds records above a gap, and a late answer that brings back a record whose withdrawal only a listing had shown. Change: a listing above the catalog's revision raises the floor below which deltas are sent in full, from revision 0 too; a change at or below the revision that the catalog is complete through is stale, whatever tombstone is held. Conclusion: completeness through a revision now means that every withdrawal up to it is known.

--- a/pkg/state/catalog/apply.go
+++ b/pkg/state/catalog/apply.go
@@ -71,6 +71,11 @@
 		c.apply(event, &applied)
 	}
 	c.withdrawAbsent(present, revision, &applied)
+	if revision > c.Through() && c.rules.floorAtListing {
+		// A listing does not show what was published and withdrawn since the
+		// catalog's revision, so deltas from below it would leave that out.
+		c.floor = max(c.floor, revision)
+	}
 	c.raise(revision)
 	c.finish(&applied)
 	return applied
@@ -124,15 +129,19 @@
 	applied.Changed = append(applied.Changed, event.Key)
 }
 
-// isStale tells whether a change is not above what is held. A key that is not
-// held although the catalog is complete through the change's revision was
-// withdrawn since, and its tombstone forgotten.
+// isStale tells whether a change is not above what is held. A catalog that is
+// complete through the change's revision has seen it or a later one of its key,
+// even if the key is not held or its tombstone is older: a listing shows that a
+// key is withdrawn, not when.
 func (c *Catalog) isStale(e *entry, found bool, revision ids.Revision) bool {
 	if !c.rules.upwardOnly {
 		return false
 	}
+	if revision <= c.Through() {
+		return true
+	}
 	if !found {
-		return revision <= c.Through()
+		return false
 	}
 	if e.refused != nil && e.refused.revision == revision {
 		return true
--- a/pkg/state/catalog/catalog.go
+++ b/pkg/state/catalog/catalog.go
@@ -36,6 +36,9 @@
 	// completeListing lets a listing imply removals only when its revision is
 	// at least the catalog's.
 	completeListing bool
+	// floorAtListing sends all records to peers that are behind the revision
+	// of a listing that this catalog started from.
+	floorAtListing bool
 }
 
 // Catalog is the set of records in force. Its methods may be called from any
@@ -51,7 +54,8 @@
 	known      int
 	log        []logEntry
 	tombstones int
-	// floor is the highest revision of a forgotten tombstone.
+	// floor is the revision up to which withdrawals may be missing here,
+	// because their tombstones were forgotten or a listing did not show them.
 	floor ids.Revision
 
 	through  atomic.Uint64
@@ -97,7 +101,7 @@
 // New returns an empty catalog.
 func New() *Catalog {
 	c := &Catalog{
-		rules:    rules{upwardOnly: true, completeListing: true},
+		rules:    rules{upwardOnly: true, completeListing: true, floorAtListing: true},
 		entries:  make(map[records.Kind]map[string]*entry),
 		adapters: shard.New[ids.AdapterID, *records.Adapter](adapterShards),
 	}
--- a/pkg/state/catalog/catalog_test.go
+++ b/pkg/state/catalog/catalog_test.go
@@ -17,7 +17,7 @@
 )
 
 // TestMain fixes the seed of rapid, so that every run gives the same verdict.
-func TestMain(m *testing.M) { rapidtest.Main(m, 20260103, 100) }
+func TestMain(m *testing.M) { rapidtest.Main(m, 20260103, 2000) }
 
 func record(kind records.Kind, id, schema, spec string) (string, json.RawMessage) {
 	return string(kind) + "/" + id, json.RawMessage(fmt.Sprintf(`{"kind":%q,"schema":%s,"id":%q,"spec":%s}`, kind, schema, id, spec))
@@ -79,6 +79,10 @@
 		c.ApplyListing(h.listing(to))
 	case "delta":
 		delta := peer.Delta(c.Through(), rapid.IntRange(0, 400).Draw(t, "bytes"))
+		if delta.Full {
+			c.ApplySnapshot(delta.Through, delta.Events)
+			return
+		}
 		c.ApplyChanges(delta.After, delta.Through, delta.Events)
 	}
 }
@@ -179,6 +183,46 @@
 	assert.Equal(t, revision, ids.Revision(5))
 }
 
+// Guards against a late answer that brings back a record which a listing had
+// shown to be withdrawn, when the tombstone held is from an earlier withdrawal.
+func TestLateChangesAfterListingAreStale(t *testing.T) {
+	c := New()
+	c.ApplyChanges(0, 1, []platformapi.Event{withdrawal("a", 1)})
+	c.ApplyListing(platformapi.Listing{Revision: 3})
+	applied := c.ApplyChanges(0, 2, []platformapi.Event{withdrawal("a", 1), customerEvent("a", 2)})
+	assert.Equal(t, applied.Stale, 2)
+	_, published := c.Held("customer/a")
+	assert.Assert(t, !published)
+}
+
+// Guards against a withdrawn key that goes on working at a VM whose peer has
+// started from a listing: the peer's delta lacked the withdrawal, and the VM
+// took itself to be complete (fault matrix, kill while platform down, seed 21).
+func TestDeltaAfterListingHasTheWithdrawals(t *testing.T) {
+	behind, restarted := New(), New()
+	behind.ApplyChanges(0, 1, []platformapi.Event{customerEvent("a", 1)})
+	// The key was withdrawn at revision 2, so the listing does not show it.
+	restarted.ApplyListing(platformapi.Listing{Revision: 3, Items: []platformapi.Item{
+		{Key: "customer/b", Revision: 3, Value: customerEvent("b", 3).Value},
+	}})
+	delta := restarted.Delta(behind.Through(), 1000)
+	assert.Assert(t, delta.Full, "a VM that never saw the withdrawal must send all records")
+	behind.ApplySnapshot(delta.Through, delta.Events)
+	_, published := behind.Held("customer/a")
+	assert.Assert(t, !published)
+	assert.Assert(t, !restarted.Delta(3, 1000).Full)
+
+	careless := New()
+	careless.rules.floorAtListing = false
+	careless.ApplyListing(platformapi.Listing{Revision: 3})
+	missed := New()
+	missed.ApplyChanges(0, 1, []platformapi.Event{customerEvent("a", 1)})
+	delta = careless.Delta(1, 1000)
+	missed.ApplyChanges(delta.After, delta.Through, delta.Events)
+	_, published = missed.Held("customer/a")
+	assert.Assert(t, published && missed.Through() == 3, "the fault that the rule prevents")
+}
+
 // Guards against a withdrawn record that returns once its tombstone has been
 // forgotten, and against deltas that leave out forgotten withdrawals.
 func TestForgottenTombstones(t *testing.T) {
--- a/pkg/state/catalog/delta.go
+++ b/pkg/state/catalog/delta.go
@@ -41,7 +41,7 @@
 func (c *Catalog) Delta(after ids.Revision, maxBytes int) Delta {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if after > 0 && after < c.floor {
+	if after < c.floor {
 		return c.snapshot()
 	}
 	delta := Delta{After: after, Through: max(after, c.Through())}
