--- a/pkg/coordination/caps/caps.go
+++ b/pkg/coordination/caps/caps.go
@@ -52,17 +52,21 @@
 	c.share = float64(alive) / float64(alive+silent)
 }
 
-// Admit charges a cost. If the customer is over its cap, it returns the time
+// minLevel is the level at which a refused customer may come back.
+const minLevel = 1.0
+
+// Admit charges a cost. A request is admitted while the bucket is not empty and
+// charged in full, so that one that is larger than the burst can run; the debt
+// delays the next ones. If the customer is over its cap, it returns the time
 // after which there will be room.
 func (c *Caps) Admit(now time.Time, customer ids.CustomerID, limit Limit, cost int64) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
 	}
 	b := c.refill(now, customer, limit)
-	need := min(float64(cost), max(limit.Burst, 1)*c.share)
-	if b.level < need {
+	if b.level <= 0 {
 		rate := limit.Rate * c.share
-		return false, time.Duration((need - b.level) / rate * float64(time.Second))
+		return false, time.Duration((minLevel - b.level) / rate * float64(time.Second))
 	}
 	b.level -= float64(cost)
 	c.own[customer] += cost
@@ -123,7 +127,7 @@
 		}
 		if b := c.buckets[customer]; b != nil {
 			c.refill(now, customer, b.limit)
-			b.level = max(b.level-float64(added), -b.limit.Burst)
+			b.level = b.level - float64(added)
 		}
 	}
 	if len(totals) > 0 {
--- a/pkg/coordination/residency/table.go
+++ b/pkg/coordination/residency/table.go
@@ -160,6 +160,7 @@
 	modelUntil time.Time
 	// pauseUntil holds orders back after a conflict.
 	pauseUntil time.Time
+	conflicts  int
 	// version counts the changes of what is held.
 	version uint64
 }
@@ -203,7 +204,8 @@
 	if t.pending != nil || asked.Before(t.trustAfter) && !restarted {
 		return
 	}
-	if !restarted && t.known && report.Sequence < t.sequence {
+	// The sequence never falls while the engine runs, so a lower one is old.
+	if !restarted && report.Sequence < t.sequence {
 		return
 	}
 	t.started = max(t.started, report.Started)
@@ -252,8 +254,14 @@
 // Wants returns the number of adapters that wait for their order.
 func (t *Table) Wants() int { return len(t.wants) }
 
-// Used counts uses of an adapter.
+// maxUses bounds the adapters whose uses are counted.
+const maxUses = 4096
+
+// Used counts uses of an adapter, held or not.
 func (t *Table) Used(now time.Time, key serving.AdapterKey, times float64) {
+	if len(t.uses) >= maxUses {
+		t.prune(now)
+	}
 	u := t.uses[key]
 	if u == nil {
 		u = &use{at: now}
@@ -263,6 +271,18 @@
 	u.at = now
 }
 
+// prune forgets the uses that have decayed.
+func (t *Table) prune(now time.Time) {
+	for key := range t.uses {
+		if t.worth(now, key) < prunedWorth && t.held[key] == nil {
+			delete(t.uses, key)
+		}
+	}
+}
+
+// prunedWorth is a single use three half-lives ago.
+const prunedWorth = 0.125
+
 func (t *Table) decay(age time.Duration) float64 {
 	return math.Exp2(-age.Seconds() / t.config.HalfLife.Seconds())
 }
@@ -317,8 +337,8 @@
 
 // Next returns the next order, if one may be given now. Until Finish is
 // called no other order is returned. MayLoadModel tells whether the weight
-// store has room for a load.
-func (t *Table) Next(now time.Time, limits Limits, mayLoadModel bool) (Order, bool) {
+// store has room for a load, and active which adapters have open requests.
+func (t *Table) Next(now time.Time, limits Limits, mayLoadModel bool, active map[serving.AdapterKey]bool) (Order, bool) {
 	t.settle(now)
 	if !t.known || t.pending != nil || now.Before(t.pauseUntil) || now.Before(t.modelUntil) || t.modelBusy {
 		return Order{}, false
@@ -347,7 +367,7 @@
 		if len(t.held) < t.capacity(limits) {
 			return t.begin(now, Order{Kind: LoadAdapter, Model: want.Key.Model, Adapter: want.Key.Adapter, Version: want.Version}), true
 		}
-		if victim, found := t.victim(now); found {
+		if victim, found := t.victim(now, active); found {
 			return t.begin(now, Order{Kind: UnloadAdapter, Model: victim.Model, Adapter: victim.Adapter}), true
 		}
 		return Order{}, false
@@ -403,16 +423,21 @@
 	return list
 }
 
-// victim returns the adapter whose recent use is lowest. Adapters that wait
-// for their first requests, or that are wanted, are kept.
-func (t *Table) victim(now time.Time) (serving.AdapterKey, bool) {
+// victim returns the adapter whose recent use is lowest. Adapters that are
+// wanted, or that have just been loaded for requests that wait, are kept.
+// Those with open requests come last, since their unload waits and holds other
+// orders up.
+func (t *Table) victim(now time.Time, active map[serving.AdapterKey]bool) (serving.AdapterKey, bool) {
 	var best serving.AdapterKey
 	found, least := false, 0.0
 	for key, entry := range t.held {
-		if entry.Loading || entry.Leaving || t.wants[key] != nil || now.Sub(entry.Ready) < t.config.MinResidence && t.uses[key] != nil {
+		if entry.Loading || entry.Leaving || t.wants[key] != nil || now.Sub(entry.Ready) < t.config.MinResidence {
 			continue
 		}
 		worth := t.worth(now, key)
+		if active[key] {
+			worth += activeWorth
+		}
 		if !found || worth < least || worth == least && key.String() < best.String() {
 			best, least, found = key, worth, true
 		}
@@ -420,6 +445,9 @@
 	return best, found
 }
 
+// activeWorth is above any count of uses.
+const activeWorth = 1e6
+
 func (t *Table) begin(now time.Time, order Order) Order {
 	order.Sequence = t.sequence
 	t.pending, t.pendingAt = &order, now
@@ -432,6 +460,9 @@
 		return
 	}
 	t.pending = nil
+	if result != Conflict {
+		t.conflicts = 0
+	}
 	key := serving.AdapterKey{Model: order.Model, Adapter: order.Adapter}
 	switch result {
 	case Accepted:
@@ -441,8 +472,14 @@
 		t.sequence++
 		t.accepted(now, order, key, true)
 	case Conflict:
+		// An unload that waits for its requests refuses other orders for a
+		// while; only a conflict that lasts puts the table in doubt.
 		t.pauseUntil = now.Add(conflictPause)
-		t.doubt(now)
+		t.conflicts++
+		if t.conflicts >= conflictsForDoubt {
+			t.conflicts = 0
+			t.doubt(now)
+		}
 	case Unknown:
 		t.doubt(now.Add(t.config.ReportLag))
 	case NotTaken:
@@ -452,7 +489,11 @@
 }
 
 // conflictPause keeps a refused order from being repeated at once.
-const conflictPause = 100 * time.Millisecond
+const conflictPause = 60 * time.Millisecond
+
+// conflictsForDoubt is the number of conflicts in a row after which the
+// engine is asked what it holds.
+const conflictsForDoubt = 3
 
 // modelLoadSlack is added to the stated load time of a model before its
 // completion is asked for.
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -40,14 +40,16 @@
 	Members []ids.VMID `json:"members,omitempty"`
 	// Through is the store's revision that the VM has applied, and ProofMs the
 	// age of the proof that it is current; negative if there is none.
-	Through ids.Revision                      `json:"through"`
-	ProofMs int64                             `json:"proof"`
-	Claims  []authority.Claim                 `json:"claims,omitempty"`
-	Totals  caps.Totals                       `json:"totals,omitempty"`
-	Loads   map[ids.EndpointID]balance.Load   `json:"loads,omitempty"`
-	Uses    map[string]float64                `json:"uses,omitempty"`
-	Seen    uint64                            `json:"seen,omitempty"`
-	Tables  map[ids.EndpointID]publishedTable `json:"tables,omitempty"`
+	Through ids.Revision                    `json:"through"`
+	ProofMs int64                           `json:"proof"`
+	Claims  []authority.Claim               `json:"claims,omitempty"`
+	Totals  caps.Totals                     `json:"totals,omitempty"`
+	Loads   map[ids.EndpointID]balance.Load `json:"loads,omitempty"`
+	Uses    map[string]float64              `json:"uses,omitempty"`
+	// Active are the adapters with open requests at the VM.
+	Active []string                          `json:"active,omitempty"`
+	Seen   uint64                            `json:"seen,omitempty"`
+	Tables map[ids.EndpointID]publishedTable `json:"tables,omitempty"`
 	// TablesAt counts the changes of the tables of this run.
 	TablesAt uint64 `json:"tablesAt,omitempty"`
 }
@@ -180,6 +182,7 @@
 	s.Loads = n.balancer.Own()
 	n.balanceMu.Unlock()
 	s.Uses = n.residents.takeUses(to)
+	s.Active = n.residents.activeNames()
 	s.Seen = n.residents.seen(to)
 	return s
 }
@@ -202,6 +205,7 @@
 	n.balancer.Hear(now, s.ID, s.Loads)
 	n.balanceMu.Unlock()
 	n.owner.used(now, s.Uses)
+	n.owner.hearActive(now, s.ID, s.Active)
 	n.residents.hear(now, s.ID, s.Boot, s.Tables, s.TablesAt)
 }
 
--- a/pkg/node/forward.go
+++ b/pkg/node/forward.go
@@ -48,6 +48,11 @@
 // dispatch sends a request until it has an answer or is refused.
 func (n *Node) dispatch(ctx context.Context, w http.ResponseWriter, r *http.Request, p *progress) {
 	n.countRequest(p)
+	if p.request.Adapter != "" {
+		key := p.request.AdapterKey()
+		n.residents.begin(key)
+		defer n.residents.end(key)
+	}
 	for shed := 0; ; {
 		endpoint, refused := n.choose(ctx, p)
 		if refused == nil {
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -54,10 +54,21 @@
 	changes  uint64
 	loads    float64
 	loadedAt time.Time
+	// active holds the adapters with open requests at each VM.
+	active map[ids.VMID]activeAdapters
 }
 
+// activeAdapters are the adapters with open requests at one VM.
+type activeAdapters struct {
+	at   time.Time
+	keys []string
+}
+
+// activeAge is how long a VM's word on its open requests counts.
+const activeAge = 2 * time.Second
+
 func newOwner(n *Node) *owner {
-	return &owner{node: n, engines: make(map[ids.EndpointID]*engine), loads: modelLoadReserve}
+	return &owner{node: n, engines: make(map[ids.EndpointID]*engine), loads: modelLoadReserve, active: make(map[ids.VMID]activeAdapters)}
 }
 
 // run gives orders until the VM stops.
@@ -81,6 +92,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.follow(now, view, fences)
+	active := o.activeKeys(now)
 	for _, e := range o.engines {
 		if e.busy {
 			continue
@@ -91,7 +103,7 @@
 			go o.report(ctx, e)
 			continue
 		}
-		if order, due := e.table.Next(now, e.limits, o.mayLoadModel(now, view, e)); due {
+		if order, due := e.table.Next(now, e.limits, o.mayLoadModel(now, view, e), active); due {
 			if order.Kind == residency.LoadModel {
 				o.loads--
 			}
@@ -264,11 +276,38 @@
 			continue
 		}
 		for _, e := range o.engines {
-			if _, held := e.table.Find(key, 0); held {
-				e.table.Used(now, key, times)
+			e.table.Used(now, key, times)
+		}
+	}
+}
+
+// hearActive takes the adapters with open requests at a VM.
+func (o *owner) hearActive(now time.Time, vm ids.VMID, keys []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.active[vm] = activeAdapters{at: now, keys: keys}
+}
+
+// activeKeys returns the adapters with open requests at any VM. The caller
+// holds mu.
+func (o *owner) activeKeys(now time.Time) map[serving.AdapterKey]bool {
+	active := make(map[serving.AdapterKey]bool)
+	if len(o.engines) == 0 {
+		return active
+	}
+	o.active[o.node.settings.Self()] = activeAdapters{at: now, keys: o.node.residents.activeNames()}
+	for vm, told := range o.active {
+		if now.Sub(told.at) > activeAge {
+			delete(o.active, vm)
+			continue
+		}
+		for _, name := range told.keys {
+			if key, valid := splitKey(name); valid {
+				active[key] = true
 			}
 		}
 	}
+	return active
 }
 
 // ensureRequest asks the owner of an engine for an adapter.
--- a/pkg/node/residents.go
+++ b/pkg/node/residents.go
@@ -41,6 +41,8 @@
 	// through is the change count up to which each peer's tables are known.
 	through map[ids.VMID]peerTables
 	uses    map[ids.VMID]map[string]float64
+	// active counts the open requests of this VM for each adapter.
+	active map[serving.AdapterKey]int
 }
 
 type peerTables struct {
@@ -53,6 +55,7 @@
 		engines: make(map[ids.EndpointID]*engineView),
 		through: make(map[ids.VMID]peerTables),
 		uses:    make(map[ids.VMID]map[string]float64),
+		active:  make(map[serving.AdapterKey]int),
 	}
 }
 
@@ -177,3 +180,29 @@
 	delete(r.uses, peer)
 	return uses
 }
+
+// begin counts an open request for an adapter, and end takes it back.
+func (r *residents) begin(key serving.AdapterKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active[key]++
+}
+
+func (r *residents) end(key serving.AdapterKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.active[key]--; r.active[key] <= 0 {
+		delete(r.active, key)
+	}
+}
+
+// activeNames returns the adapters with open requests at this VM.
+func (r *residents) activeNames() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	names := make([]string, 0, len(r.active))
+	for key := range r.active {
+		names = append(names, key.String())
+	}
+	return names
+}
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -77,13 +77,13 @@
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	p.sends++
+	p.runs++
 	dog := startWatchdog(p.quietLimit(left), cancel)
 	defer dog.stop()
 	n.balanceMu.Lock()
 	n.balancer.Begin(now, e.ID)
 	n.balanceMu.Unlock()
-	p.sends++
-	p.runs++
 	p.last = e.ID
 	track := &sendTrack{node: n, endpoint: e, sent: now}
 	result := n.exchangeAnswer(sendCtx, w, p, e, left, dog, track)
--- a/pkg/node/source.go
+++ b/pkg/node/source.go
@@ -20,9 +20,15 @@
 	// is given up.
 	watchSlack  = 700 * time.Millisecond
 	listTimeout = 2 * time.Second
-	// relayAge is the age of the best proof above which a VM that relies on
-	// its peers reads the store itself.
-	relayAge = 2200 * time.Millisecond
+	// watchPause is the pause after a watch that had changes. Endpoints change
+	// their entries with each load, and each call has a price.
+	watchPause = 350 * time.Millisecond
+	// relayAge is the age of the best proof above which the next VM reads the
+	// store beside those before it in the order of ids, and relayStep how much
+	// older it is for each VM further on, up to relayMax.
+	relayAge  = 1700 * time.Millisecond
+	relayStep = 200 * time.Millisecond
+	relayMax  = 2600 * time.Millisecond
 	// readPause bounds the pause after a failed read.
 	readPauseMin = 50 * time.Millisecond
 	readPauseMax = 500 * time.Millisecond
@@ -59,22 +65,22 @@
 	}
 }
 
-// shouldRead reports whether this VM reads the store itself now.
+// shouldRead reports whether this VM reads the store itself now: the first VM
+// by id always does, the others when their peers' proofs grow old.
 func (n *Node) shouldRead(now time.Time) bool {
-	n.proofMu.Lock()
-	age, proven := n.proof.Age(now)
-	n.proofMu.Unlock()
-	if !proven || age > relayAge {
+	age, proven := n.proofAge(now)
+	if !proven {
 		return true
 	}
 	n.membersMu.Lock()
 	defer n.membersMu.Unlock()
+	before := 0
 	for _, m := range n.fleet.Alive(now) {
-		if m.DataCentre == n.settings.DataCentre && !m.Leaving && m.ID < n.settings.Self() {
-			return false
+		if !m.Leaving && m.ID < n.settings.Self() {
+			before++
 		}
 	}
-	return true
+	return before == 0 || age > min(relayAge+time.Duration(before-1)*relayStep, relayMax)
 }
 
 func (n *Node) readStore(ctx context.Context) error {
@@ -96,6 +102,9 @@
 	}
 	n.applyDelta(delta, "store")
 	n.confirm(sent, delta.Through)
+	if len(delta.Items) > 0 {
+		sleep(ctx, watchPause)
+	}
 	return nil
 }
 
