Close unused connections once the balancer has left a draining VM

Now unused connections are closed 2.2 s after SIGTERM. Ruled out: the grace time itself, which covers the longest streams from 2.2 s on.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -242,10 +242,9 @@
 const (
 	// drainListen is how long a leaving VM still takes connections: until the
 	// balancer has seen two failed probes a second apart.
-	drainListen = 2500 * time.Millisecond
-	drainPoll   = 20 * time.Millisecond
+	drainListen = 2200 * time.Millisecond
 	// drainReserve is kept of the grace time for the end of the process.
-	drainReserve = 700 * time.Millisecond
+	drainReserve = 300 * time.Millisecond
 )
 
 // Run serves until the context ends, then drains.
@@ -255,28 +254,24 @@
 }
 
 // Drain ends the VM without cutting a request that ends within the grace time.
+// Once the balancer sends no more connections, unused ones are closed, so that
+// no request arrives that would not end in time.
 func (n *Node) Drain() {
 	began := time.Now()
 	n.leaving.Store(true)
 	n.claim(began)
 	n.wake()
 	n.note("drain", fields{"open": n.open.Load()})
-	limit := began.Add(max(n.settings.Bounds.Grace-drainReserve, drainPoll))
-	for now := began; now.Before(limit); now = time.Now() {
-		if now.Sub(began) >= drainListen && n.open.Load() == 0 {
-			break
-		}
-		time.Sleep(drainPoll)
-	}
-	n.note("stop", fields{"open": n.open.Load(), "drainMs": time.Since(began).Milliseconds()})
-	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(drainReserve/2))
+	time.Sleep(min(drainListen, n.settings.Bounds.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Bounds.Grace-drainReserve))
 	defer cancel()
 	for _, server := range n.servers {
 		if err := server.Shutdown(ctx); err != nil {
-			n.warn("shutdown was cut short", err, nil)
+			n.warn("shutdown was cut short", err, fields{"open": n.open.Load()})
 			_ = server.Close()
 		}
 	}
+	n.note("stop", fields{"open": n.open.Load(), "drainMs": time.Since(began).Milliseconds()})
 	n.stop()
 }
 
