Prefer engines without late pauses, and urgent requests at a customer's cap

The balancer now counts late pauses of each engine over all VMs as load. A customer at its cap keeps room for plain and more urgent requests, and requests larger than half the burst may run into debt. Ruled out: time to the first token (13 over 800 ms), the relay's own delay.

--- a/pkg/coordination/balance/balance.go
+++ b/pkg/coordination/balance/balance.go
@@ -4,6 +4,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"sort"
 	"time"
 
@@ -25,6 +26,11 @@
 	EjectBase, EjectMax time.Duration
 	// FailureStreak is the number of failures in a row that eject an endpoint.
 	FailureStreak int
+	// PauseWeight is the load that an engine counts as carrying more if all
+	// its streams pause for longer than their objective.
+	PauseWeight float64
+	// PauseHalfLife is that of the counts of streams and late pauses.
+	PauseHalfLife time.Duration
 	// PeerLoadAge is how long a peer's load report counts.
 	PeerLoadAge time.Duration
 }
@@ -39,6 +45,8 @@
 		EjectBase:     400 * time.Millisecond,
 		EjectMax:      4 * time.Second,
 		FailureStreak: 2,
+		PauseWeight:   12,
+		PauseHalfLife: 10 * time.Second,
 		PeerLoadAge:   1500 * time.Millisecond,
 	}
 }
@@ -51,6 +59,12 @@
 	Running int `json:"r,omitempty"`
 }
 
+// Pauses counts streams and those that paused for longer than their objective.
+type Pauses struct {
+	Streams float64 `json:"n"`
+	Late    float64 `json:"l,omitempty"`
+}
+
 // Outcome is how a request at an endpoint ended.
 type Outcome int
 
@@ -75,11 +89,14 @@
 	until    time.Time
 	backoff  time.Duration
 	trial    bool
+	pauses   Pauses
+	pausesAt time.Time
 }
 
 type peerLoads struct {
-	at    time.Time
-	loads map[ids.EndpointID]Load
+	at     time.Time
+	loads  map[ids.EndpointID]Load
+	pauses map[ids.EndpointID]Pauses
 }
 
 // Balancer holds the state of all endpoints as one VM sees it.
@@ -103,9 +120,59 @@
 	return s
 }
 
-// Hear takes the loads of a peer.
-func (b *Balancer) Hear(now time.Time, peer ids.VMID, loads map[ids.EndpointID]Load) {
-	b.peers[peer] = peerLoads{at: now, loads: loads}
+// Hear takes the loads and pauses that a peer has counted.
+func (b *Balancer) Hear(now time.Time, peer ids.VMID, loads map[ids.EndpointID]Load, pauses map[ids.EndpointID]Pauses) {
+	b.peers[peer] = peerLoads{at: now, loads: loads, pauses: pauses}
+}
+
+// Paused counts a stream that has ended, and whether it paused for too long.
+func (b *Balancer) Paused(now time.Time, id ids.EndpointID, late bool) {
+	s := b.state(id)
+	s.fade(now, b.config.PauseHalfLife)
+	s.pauses.Streams++
+	if late {
+		s.pauses.Late++
+	}
+}
+
+func (s *state) fade(now time.Time, halfLife time.Duration) {
+	keep := math.Exp2(-now.Sub(s.pausesAt).Seconds() / halfLife.Seconds())
+	s.pauses.Streams *= keep
+	s.pauses.Late *= keep
+	s.pausesAt = now
+}
+
+// OwnPauses returns what this VM has counted.
+func (b *Balancer) OwnPauses(now time.Time) map[ids.EndpointID]Pauses {
+	pauses := make(map[ids.EndpointID]Pauses)
+	for id, s := range b.states {
+		s.fade(now, b.config.PauseHalfLife)
+		if s.pauses.Streams >= pausesWorthTelling {
+			pauses[id] = s.pauses
+		}
+	}
+	return pauses
+}
+
+// pausesWorthTelling keeps counts that have faded out of the messages.
+const pausesWorthTelling = 0.2
+
+// pausePrior is the number of streams on time that every engine is assumed to
+// have had, so that a single pause does not set it apart.
+const pausePrior = 4.0
+
+// pauseRisk is the share of an engine's streams that paused for too long.
+func (b *Balancer) pauseRisk(id ids.EndpointID) float64 {
+	total := Pauses{Streams: pausePrior}
+	if s := b.states[id]; s != nil {
+		total.Streams += s.pauses.Streams
+		total.Late += s.pauses.Late
+	}
+	for _, peer := range b.peers {
+		total.Streams += peer.pauses[id].Streams
+		total.Late += peer.pauses[id].Late
+	}
+	return total.Late / total.Streams
 }
 
 // Own returns the loads of this VM.
@@ -147,7 +214,7 @@
 // Weight returns the load of an endpoint as one number.
 func (b *Balancer) Weight(now time.Time, id ids.EndpointID) float64 {
 	total := b.Total(now, id)
-	return float64(total.Starting) + b.config.RunningWeight*float64(total.Running)
+	return float64(total.Starting) + b.config.RunningWeight*float64(total.Running) + b.config.PauseWeight*b.pauseRisk(id)
 }
 
 // Available reports whether an endpoint may get a request now.
--- a/pkg/coordination/caps/caps.go
+++ b/pkg/coordination/caps/caps.go
@@ -52,24 +52,53 @@
 	c.share = float64(alive) / float64(alive+silent)
 }
 
-// minLevel is the level at which a refused customer may come back.
-const minLevel = 1.0
-
-// Admit charges a cost. A request is admitted while the bucket is not empty and
-// charged in full, so that one that is larger than the burst can run; the debt
-// delays the next ones. If the customer is over its cap, it returns the time
-// after which there will be room.
-func (c *Caps) Admit(now time.Time, customer ids.CustomerID, limit Limit, cost int64) (bool, time.Duration) {
+// Figures of the order in which requests of a customer at its cap are served.
+// They are parts of the burst.
+const (
+	// largestNeed bounds what a request needs in the bucket, so that one that
+	// costs more than the burst can still run. It is charged in full, and the
+	// debt delays the next ones.
+	largestNeed = 0.5
+	// generationReserve is kept for plain requests, which cost a tenth of a
+	// generation, and urgencyStep for each level of urgency above a request's.
+	generationReserve = 0.1
+	urgencyStep       = 0.08
+	maxReserve        = 0.4
+)
+
+// Demand is what a request asks of its customer's cap.
+type Demand struct {
+	// Cost is in the units of the limit.
+	Cost int64
+	// Generation is set for requests that generate tokens.
+	Generation bool
+	// Urgency ranks requests; 0 is the most urgent.
+	Urgency int
+}
+
+// need returns the level at which a request is admitted.
+func (d Demand) need(burst float64) float64 {
+	reserve := 0.0
+	if d.Generation {
+		reserve = min(generationReserve+urgencyStep*float64(max(d.Urgency, 0)), maxReserve)
+	}
+	return min(float64(d.Cost), largestNeed*burst) + reserve*burst
+}
+
+// Admit charges a request. If the customer is over its cap, it returns the
+// time after which there will be room. While the bucket is low, plain and more
+// urgent requests are admitted before others.
+func (c *Caps) Admit(now time.Time, customer ids.CustomerID, limit Limit, demand Demand) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
 	}
 	b := c.refill(now, customer, limit)
-	if b.level <= 0 {
+	if need := demand.need(limit.Burst); b.level < need {
 		rate := limit.Rate * c.share
-		return false, time.Duration((minLevel - b.level) / rate * float64(time.Second))
+		return false, time.Duration((need - b.level) / rate * float64(time.Second))
 	}
-	b.level -= float64(cost)
-	c.own[customer] += cost
+	b.level -= float64(demand.Cost)
+	c.own[customer] += demand.Cost
 	return true, 0
 }
 
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -51,7 +51,10 @@
 	lastEvent string
 	committed bool
 	firstByte time.Time
-	charged   bool
+	lastPart  time.Time
+	// longestGap is the longest pause between two parts of a stream.
+	longestGap time.Duration
+	charged    bool
 }
 
 // admit reads a request and decides whether it may be served. It returns a
@@ -215,7 +218,11 @@
 	}
 	n.capsMu.Lock()
 	defer n.capsMu.Unlock()
-	admitted, after := n.caps.Admit(now, customer.ID, limitOf(customer), p.request.Cost)
+	admitted, after := n.caps.Admit(now, customer.ID, limitOf(customer), caps.Demand{
+		Cost:       p.request.Cost,
+		Generation: p.request.Service.Engine != nil,
+		Urgency:    p.request.Urgency,
+	})
 	if !admitted {
 		return &refusal{status: http.StatusTooManyRequests, reason: "over the customer's rate", retryAfter: after}
 	}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -40,12 +40,13 @@
 	Members []ids.VMID `json:"members,omitempty"`
 	// Through is the store's revision that the VM has applied, and ProofMs the
 	// age of the proof that it is current; negative if there is none.
-	Through ids.Revision                    `json:"through"`
-	ProofMs int64                           `json:"proof"`
-	Claims  []authority.Claim               `json:"claims,omitempty"`
-	Totals  caps.Totals                     `json:"totals,omitempty"`
-	Loads   map[ids.EndpointID]balance.Load `json:"loads,omitempty"`
-	Uses    map[string]float64              `json:"uses,omitempty"`
+	Through ids.Revision                      `json:"through"`
+	ProofMs int64                             `json:"proof"`
+	Claims  []authority.Claim                 `json:"claims,omitempty"`
+	Totals  caps.Totals                       `json:"totals,omitempty"`
+	Loads   map[ids.EndpointID]balance.Load   `json:"loads,omitempty"`
+	Pauses  map[ids.EndpointID]balance.Pauses `json:"pauses,omitempty"`
+	Uses    map[string]float64                `json:"uses,omitempty"`
 	// Active are the adapters with open requests at the VM.
 	Active []string                          `json:"active,omitempty"`
 	Seen   uint64                            `json:"seen,omitempty"`
@@ -179,7 +180,7 @@
 	s.Totals = n.caps.Own()
 	n.capsMu.Unlock()
 	n.balanceMu.Lock()
-	s.Loads = n.balancer.Own()
+	s.Loads, s.Pauses = n.balancer.Own(), n.balancer.OwnPauses(now)
 	n.balanceMu.Unlock()
 	s.Uses = n.residents.takeUses(to)
 	s.Active = n.residents.activeNames()
@@ -202,7 +203,7 @@
 	n.caps.Hear(now, s.ID, s.Boot, time.Duration(s.UptimeMs)*time.Millisecond, s.Totals)
 	n.capsMu.Unlock()
 	n.balanceMu.Lock()
-	n.balancer.Hear(now, s.ID, s.Loads)
+	n.balancer.Hear(now, s.ID, s.Loads, s.Pauses)
 	n.balanceMu.Unlock()
 	n.owner.used(now, s.Uses)
 	n.owner.hearActive(now, s.ID, s.Active)
--- a/pkg/node/notes.go
+++ b/pkg/node/notes.go
@@ -62,6 +62,11 @@
 
 // noteServed writes the line of a request that had its whole answer.
 func (n *Node) noteServed(p *progress, result sendResult) {
+	if objective := p.request.Route.PauseObjective; objective > 0 && !p.lastPart.IsZero() && p.sends == 1 {
+		n.balanceMu.Lock()
+		n.balancer.Paused(time.Now(), p.last, p.longestGap > objective)
+		n.balanceMu.Unlock()
+	}
 	n.end(p, "served", result.status, "", result.bytes)
 }
 
@@ -83,7 +88,7 @@
 		f["route"], f["kind"] = r.Route.ID, kind
 	}
 	if r.Customer != nil {
-		f["customer"] = r.Customer.ID
+		f["customer"], f["cost"], f["rate"] = r.Customer.ID, r.Cost, r.Customer.Rate
 	}
 	if r.Adapter != "" {
 		f["adapter"] = r.AdapterKey().String()
@@ -92,6 +97,9 @@
 	if !p.firstByte.IsZero() {
 		f["firstMs"] = p.firstByte.Sub(r.Arrived).Milliseconds()
 	}
+	if p.longestGap > 0 {
+		f["gapMs"] = p.longestGap.Milliseconds()
+	}
 	if reason != "" {
 		f["reason"] = reason
 	}
--- a/pkg/node/stream.go
+++ b/pkg/node/stream.go
@@ -28,6 +28,7 @@
 		count, err := response.Body.Read(buffer)
 		if count > 0 {
 			track.first(true)
+			p.noteGap(time.Now())
 			dog.reset(p.streamQuiet())
 			if ready := events.take(buffer[:count]); len(ready) > 0 {
 				if writeErr := n.passOn(w, p, response, answer, ready); writeErr != nil {
@@ -134,3 +135,11 @@
 	}
 	return streamQuiet
 }
+
+// noteGap keeps the longest pause between two parts of a stream.
+func (p *progress) noteGap(now time.Time) {
+	if !p.lastPart.IsZero() {
+		p.longestGap = max(p.longestGap, now.Sub(p.lastPart))
+	}
+	p.lastPart = now
+}
--- a/pkg/protocol/serving/serving.go
+++ b/pkg/protocol/serving/serving.go
@@ -53,6 +53,9 @@
 	// Objective is the time to the answer, or to the first event of a
 	// stream, within which the answer is on time.
 	Objective time.Duration
+	// PauseObjective is the longest pause within a stream that is on time; 0
+	// for none.
+	PauseObjective time.Duration
 	// Attempts is the number of endpoints that one request may be sent to.
 	Attempts int
 	// Priority ranks requests; 0 is the most urgent.
