--- a/pkg/coordination/balance/balance.go
+++ b/pkg/coordination/balance/balance.go
@@ -45,7 +45,7 @@
 		EjectBase:     400 * time.Millisecond,
 		EjectMax:      4 * time.Second,
 		FailureStreak: 2,
-		PauseWeight:   12,
+		PauseWeight:   24,
 		PauseHalfLife: 10 * time.Second,
 		PeerLoadAge:   1500 * time.Millisecond,
 	}
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -15,9 +15,9 @@
 // Figures of the choice of engines for adapters.
 const (
 	// homes is the number of engines, in the order of an adapter's hash, among
-	// which the least loaded gets it. With two, load evens out and VMs with
+	// which the least loaded gets it. With three, load evens out and VMs with
 	// different views still mostly agree.
-	homes = 2
+	homes = 3
 	// copyExcess is how much more load than the least loaded engine the
 	// holders of an adapter carry before another engine gets a copy.
 	copyExcess = 4.0
@@ -188,7 +188,7 @@
 // an adapter's order is left only for one that is clearly better.
 const (
 	fullPenalty = 3.0
-	homeMargin  = 2.0
+	homeMargin  = 1.0
 )
 
 // ensureAtHome asks the owner of an adapter's home engine to load it. It
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -221,7 +221,7 @@
 	admitted, after := n.caps.Admit(now, customer.ID, limitOf(customer), caps.Demand{
 		Cost:       p.request.Cost,
 		Generation: p.request.Service.Engine != nil,
-		Urgency:    p.request.Urgency,
+		Urgency:    p.request.Route.Priority,
 	})
 	if !admitted {
 		return &refusal{status: http.StatusTooManyRequests, reason: "over the customer's rate", retryAfter: after}
--- a/pkg/node/source.go
+++ b/pkg/node/source.go
@@ -14,8 +14,12 @@
 // Timings of reading the store.
 const (
 	// watchWait is the longest wait of a watch. Its answer is the proof that
-	// the configuration is current, so the wait is part of the proof's age.
+	// the configuration is current, so the wait counts twice in the proof's
+	// age: during the watch and until the next one answers.
 	watchWait = time.Second
+	// watchPart is the part of the bound on revocation that a watch waits at
+	// most.
+	watchPart = 0.2
 	// watchSlack is what an answer may take beyond the wait before the call
 	// is given up.
 	watchSlack  = 700 * time.Millisecond
@@ -88,10 +92,11 @@
 	if through == 0 {
 		return n.listStore(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := n.watchWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	sent := time.Now()
-	delta, err := n.store.Watch(ctx, through, watchWait)
+	delta, err := n.store.Watch(ctx, through, wait)
 	n.metrics.storeCalls.Inc(1)
 	if errors.Is(err, ErrCompacted) {
 		n.note("store history is gone", fields{"through": through})
@@ -108,6 +113,13 @@
 	return nil
 }
 
+func (n *Node) watchWait() time.Duration {
+	if !n.settings.Bounds.StrictRevocation {
+		return watchWait
+	}
+	return min(watchWait, time.Duration(watchPart*float64(n.settings.Bounds.Revocation)))
+}
+
 func (n *Node) listStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
