Keep each VM's claim apart and test the decision packages

Claims are now kept by holder. The random test of the mirror found that an old listing after a newer one brought a removed key back; items at or below the complete revision are now skipped.

--- a/pkg/coordination/authority/authority.go
+++ b/pkg/coordination/authority/authority.go
@@ -47,9 +47,8 @@
 	Leaving    bool
 }
 
-// heard is the last claim of another VM on a data centre.
+// heard is the last claim of one VM on a data centre.
 type heard struct {
-	holder   ids.VMID
 	boot     ids.BootID
 	fence    ids.Fence
 	at       time.Time
@@ -61,7 +60,9 @@
 	config  Config
 	started time.Time
 	held    map[ids.DataCentreID]ids.Fence
-	others  map[ids.DataCentreID]*heard
+	// others holds the claims of the other VMs on each data centre. There may
+	// be several for a while, after VMs were cut off or stood still.
+	others  map[ids.DataCentreID]map[ids.VMID]*heard
 	highest ids.Fence
 	// quietUntil is the end of the wait after the process stood still.
 	quietUntil time.Time
@@ -74,7 +75,7 @@
 		config:  config,
 		started: now,
 		held:    make(map[ids.DataCentreID]ids.Fence),
-		others:  make(map[ids.DataCentreID]*heard),
+		others:  make(map[ids.DataCentreID]map[ids.VMID]*heard),
 	}
 }
 
@@ -86,25 +87,23 @@
 	for _, claim := range claims {
 		named[claim.DataCentre] = true
 		a.highest = max(a.highest, claim.Fence)
-		known := a.others[claim.DataCentre]
-		if known == nil || claim.Fence >= known.fence {
-			a.others[claim.DataCentre] = &heard{holder: holder, boot: boot, fence: claim.Fence, at: now}
+		if a.others[claim.DataCentre] == nil {
+			a.others[claim.DataCentre] = make(map[ids.VMID]*heard)
 		}
+		a.others[claim.DataCentre][holder] = &heard{boot: boot, fence: claim.Fence, at: now}
 		if own, holds := a.held[claim.DataCentre]; holds && claim.Fence > own {
 			delete(a.held, claim.DataCentre)
 		}
 	}
-	for dc, known := range a.others {
-		if known.holder != holder || named[dc] {
-			continue
-		}
-		if !known.released {
-			known.at = now
-		}
-		known.released = true
-		if known.boot != boot {
+	for dc, byHolder := range a.others {
+		known := byHolder[holder]
+		switch {
+		case known == nil || named[dc]:
+		case known.boot != boot:
 			// The holder restarted, so its orders have ended.
-			delete(a.others, dc)
+			delete(byHolder, holder)
+		case !known.released:
+			known.released, known.at = true, now
 		}
 	}
 }
@@ -136,10 +135,14 @@
 	if _, holds := a.held[dc]; holds {
 		return a.config.Self, true
 	}
-	if known := a.others[dc]; known != nil && !known.released {
-		return known.holder, true
+	var holder ids.VMID
+	var highest ids.Fence
+	for id, known := range a.others[dc] {
+		if !known.released && known.fence > highest {
+			holder, highest = id, known.fence
+		}
 	}
-	return "", false
+	return holder, holder != ""
 }
 
 // Holders returns the VMs that hold claims as far as this VM knows, without
@@ -147,10 +150,10 @@
 func (a *Authority) Holders() []ids.VMID {
 	seen := make(map[ids.VMID]bool)
 	var holders []ids.VMID
-	for _, known := range a.others {
-		if !known.released && !seen[known.holder] {
-			seen[known.holder] = true
-			holders = append(holders, known.holder)
+	for dc := range a.others {
+		if holder, known := a.Holder(dc); known && holder != a.config.Self && !seen[holder] {
+			seen[holder] = true
+			holders = append(holders, holder)
 		}
 	}
 	return holders
@@ -243,18 +246,27 @@
 	if age < a.config.Settle || !a.contacted && age < a.config.Settle+a.config.Lease {
 		return false
 	}
-	known := a.others[dc]
-	if known == nil {
-		return true
+	for holder, known := range a.others[dc] {
+		if !a.ended(now, holder, known, alive) {
+			return false
+		}
+		delete(a.others[dc], holder)
 	}
+	return true
+}
+
+// ended reports whether the orders under a claim have certainly ended: its
+// holder restarted or is shutting down, or the lease has passed since it was
+// last heard to hold the claim.
+func (a *Authority) ended(now time.Time, holder ids.VMID, known *heard, alive []Candidate) bool {
 	for _, c := range alive {
-		if c.ID == known.holder && c.Boot != known.boot {
-			return true
+		if c.ID != holder {
+			continue
 		}
-		if c.ID == known.holder && c.Leaving && known.released {
+		switch {
+		case c.Boot != known.boot, c.Leaving && known.released:
 			return true
-		}
-		if c.ID == known.holder && !known.released {
+		case !known.released:
 			return false
 		}
 	}
@@ -263,8 +275,8 @@
 
 // HolderHeard refreshes the time at which the holder of a claim was alive.
 func (a *Authority) HolderHeard(now time.Time, holder ids.VMID) {
-	for _, known := range a.others {
-		if known.holder == holder && !known.released {
+	for _, byHolder := range a.others {
+		if known := byHolder[holder]; known != nil && !known.released {
 			known.at = now
 		}
 	}
--- /dev/null
+++ b/pkg/coordination/balance/balance_test.go
@@ -0,0 +1,99 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
+)
+
+var start = time.Unix(1000, 0)
+
+func endpoints(names ...ids.EndpointID) []*serving.Endpoint {
+	var list []*serving.Endpoint
+	for _, name := range names {
+		list = append(list, &serving.Endpoint{ID: name, DataCentre: "dc"})
+	}
+	return list
+}
+
+// Guards against all VMs sending to one endpoint because each sees only its
+// own requests.
+func TestLoadOfOtherVMsCounts(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	list := endpoints("a", "b")
+	b.Hear(start, "peer", map[ids.EndpointID]balance.Load{"a": {Starting: 5}}, nil)
+	assert.Equal(t, b.Pick(start, list, 1).ID, ids.EndpointID("b"))
+	for range 8 {
+		b.Begin(start, "b")
+	}
+	assert.Equal(t, b.Pick(start, list, 1).ID, ids.EndpointID("a"))
+	later := start.Add(time.Minute)
+	assert.Equal(t, b.Total(later, "a"), balance.Load{})
+}
+
+// Guards against requests that keep going to an endpoint that fails them
+// although its health probe passes, and against one that is never tried again.
+func TestFailingEndpointIsSetAsideAndTriedAgain(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	list := endpoints("a", "b")
+	fail := func(now time.Time) bool {
+		b.Begin(now, "a")
+		return b.End(now, "a", false, balance.Failed)
+	}
+	assert.Assert(t, !fail(start))
+	assert.Assert(t, fail(start))
+	for salt := range uint64(16) {
+		assert.Equal(t, b.Pick(start, list, salt).ID, ids.EndpointID("b"))
+	}
+	later := start.Add(balance.DefaultConfig("dc").EjectBase)
+	assert.Assert(t, b.Available(later, "a"))
+	b.Begin(later, "a")
+	assert.Assert(t, !b.Available(later, "a"), "more than one trial at a time")
+	b.End(later, "a", false, balance.Served)
+	assert.Assert(t, b.Available(later, "a"))
+}
+
+// Guards against a service that is refused as a whole because every endpoint
+// has failed: the least loaded one is still used.
+func TestAllEndpointsFailing(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	for _, id := range []ids.EndpointID{"a", "b"} {
+		b.Eject(start, id)
+	}
+	assert.Assert(t, b.Pick(start, endpoints("a", "b"), 0) != nil)
+	assert.Assert(t, b.Pick(start, nil, 0) == nil)
+}
+
+// Guards against streams that pause too long since slower engines get as many
+// prompts as the others.
+func TestEnginesThatPauseGetLess(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	for range 6 {
+		b.Paused(start, "a", true)
+		b.Paused(start, "b", false)
+	}
+	assert.Equal(t, b.Pick(start, endpoints("a", "b"), 0).ID, ids.EndpointID("b"))
+	c := balance.New(balance.DefaultConfig("dc"))
+	c.Hear(start, "peer", nil, b.OwnPauses(start))
+	assert.Equal(t, c.Pick(start, endpoints("a", "b"), 0).ID, ids.EndpointID("b"))
+}
+
+// Guards against VMs that choose different homes for one adapter, and against
+// homes that move when an unrelated endpoint comes.
+func TestRankIsTheSameEverywhereAndStable(t *testing.T) {
+	before := balance.Rank("model/a1", endpoints("a", "b", "c", "d"))
+	assert.DeepEqual(t, before, balance.Rank("model/a1", endpoints("d", "c", "b", "a")))
+	after := balance.Rank("model/a1", endpoints("a", "b", "c", "d", "e"))
+	var kept []*serving.Endpoint
+	for _, e := range after {
+		if e.ID != "e" {
+			kept = append(kept, e)
+		}
+	}
+	assert.DeepEqual(t, before, kept)
+}
--- /dev/null
+++ b/pkg/coordination/fleet/fleet_test.go
@@ -0,0 +1,51 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fleet"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+)
+
+var start = time.Unix(1000, 0)
+
+func announce(id ids.VMID, boot ids.BootID) fleet.Announcement {
+	return fleet.Announcement{ID: id, DataCentre: "dc", Boot: boot, UptimeMs: 500}
+}
+
+// Guards against VMs that never meet because only a seed knows them, or
+// because all seeds are down when the VM starts.
+func TestMembersAreFoundThroughOneSeed(t *testing.T) {
+	f := fleet.New(fleet.DefaultConfig(), "self", []ids.VMID{"seed", "self"})
+	assert.DeepEqual(t, f.Targets(start), []ids.VMID{"seed"})
+	assert.Equal(t, len(f.Targets(start.Add(10*time.Millisecond))), 0)
+	later := start.Add(2 * time.Minute)
+	assert.DeepEqual(t, f.Targets(later), []ids.VMID{"seed"})
+	assert.Assert(t, f.Hear(later, announce("seed", "1")))
+	f.Learn(later, []ids.VMID{"other", "self"})
+	assert.Equal(t, len(f.Alive(later)), 1)
+	assert.DeepEqual(t, f.Targets(later.Add(time.Second)), []ids.VMID{"other", "seed"})
+	f.Hear(later, announce("other", "1"))
+	assert.Equal(t, len(f.Alive(later)), 2)
+}
+
+// Guards against a silent VM that is taken for stopped, and a stopped one that
+// is waited for as if it were cut off.
+func TestSilentAndLeavingMembers(t *testing.T) {
+	f := fleet.New(fleet.DefaultConfig(), "self", nil)
+	f.Hear(start, announce("a", "1"))
+	leaving := announce("b", "1")
+	leaving.Leaving = true
+	f.Hear(start, leaving)
+	later := start.Add(2 * time.Second)
+	assert.Equal(t, len(f.Alive(later)), 0)
+	silent := f.Silent(later)
+	assert.Equal(t, len(silent), 1)
+	assert.Equal(t, silent[0].ID, ids.VMID("a"))
+	assert.Assert(t, f.Hear(later, announce("a", "2")), "a restart was not seen")
+	f.Targets(later.Add(2 * time.Minute))
+	assert.Equal(t, len(f.Known()), 0)
+}
--- /dev/null
+++ b/pkg/coordination/residency/table_test.go
@@ -0,0 +1,234 @@
+package residency_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/residency"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 44, 300) }
+
+const model = "base"
+
+var (
+	start  = time.Unix(1000, 0)
+	limits = residency.Limits{AdapterSlots: 4, WeightsMB: 2000, Models: []serving.Model{{Name: model, WeightsMB: 1000, AdapterMB: 40}}}
+)
+
+func key(i int) serving.AdapterKey {
+	return serving.AdapterKey{Model: model, Adapter: ids.AdapterID(fmt.Sprintf("a%d", i))}
+}
+
+// engine is a model of an engine that crashes when it is ordered to hold more
+// than fits. Its reports show the state of some time ago.
+type engine struct {
+	sequence uint64
+	started  int64
+	models   bool
+	held     map[serving.AdapterKey]time.Time
+	overfull bool
+	past     []residency.Report
+	pastAt   []time.Time
+}
+
+func newEngine() *engine {
+	return &engine{started: 1, models: true, held: make(map[serving.AdapterKey]time.Time)}
+}
+
+func (e *engine) order(now time.Time, o residency.Order) residency.Result {
+	if o.Sequence != e.sequence {
+		return residency.Conflict
+	}
+	e.sequence++
+	k := serving.AdapterKey{Model: o.Model, Adapter: o.Adapter}
+	switch o.Kind {
+	case residency.UnloadAdapter:
+		delete(e.held, k)
+		return residency.Done
+	case residency.LoadModel:
+		e.models = true
+		return residency.Done
+	}
+	if _, held := e.held[k]; held {
+		return residency.Done
+	}
+	e.held[k] = now.Add(250 * time.Millisecond)
+	e.overfull = e.overfull || len(e.held) > limits.AdapterSlots || !e.models
+	return residency.Accepted
+}
+
+func (e *engine) restart() {
+	e.started++
+	e.sequence = 0
+	e.models = false
+	clear(e.held)
+	e.past, e.pastAt = nil, nil
+}
+
+// remember keeps the state for reports that lag.
+func (e *engine) remember(now time.Time) {
+	r := residency.Report{Sequence: e.sequence, Started: e.started}
+	if e.models {
+		r.Models = []serving.HeldModel{{Name: model}}
+	}
+	for k, ready := range e.held {
+		if now.Before(ready) {
+			r.Coming = append(r.Coming, residency.Coming{Key: k, Version: 1})
+		} else {
+			r.Models[0].Adapters = append(r.Models[0].Adapters, ids.AdapterRef{Adapter: k.Adapter, Version: 1})
+		}
+	}
+	e.past, e.pastAt = append(e.past, r), append(e.pastAt, now)
+}
+
+func (e *engine) report(now time.Time, lag time.Duration) residency.Report {
+	for i := len(e.past) - 1; i >= 0; i-- {
+		if !e.pastAt[i].After(now.Add(-lag)) {
+			return e.past[i]
+		}
+	}
+	return residency.Report{Started: e.started}
+}
+
+// Guards against loads beyond an engine's slots, which crash it, while answers
+// to orders are lost, reports lag, the engine restarts under its id and other
+// VMs order it too (handover, kill of all VMs).
+func TestNeverMoreThanTheSlotsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := newEngine()
+		tables := []*residency.Table{residency.NewTable(residency.DefaultConfig()), residency.NewTable(residency.DefaultConfig())}
+		owner := 0
+		for step := range 200 {
+			now := start.Add(time.Duration(step) * 50 * time.Millisecond)
+			e.remember(now)
+			switch rapid.IntRange(0, 40).Draw(t, "event") {
+			case 1:
+				e.restart()
+				e.remember(now)
+			case 2:
+				owner = 1 - owner
+				tables[owner] = residency.NewTable(residency.DefaultConfig())
+			}
+			table := tables[owner]
+			table.Want(residency.Want{Key: key(rapid.IntRange(0, 9).Draw(t, "adapter")), Version: 1, Since: now})
+			if rapid.Bool().Draw(t, "report") {
+				lag := time.Duration(rapid.IntRange(0, 400).Draw(t, "lag")) * time.Millisecond
+				table.Apply(now, now, e.report(now, lag))
+			}
+			order, due := table.Next(now, limits, true, nil)
+			if !due {
+				continue
+			}
+			result := residency.Unknown
+			if lost := rapid.IntRange(0, 9).Draw(t, "lost"); lost != 1 {
+				result = e.order(now, order)
+				if lost == 2 {
+					result = residency.Unknown
+				}
+			}
+			table.Finish(now, order, result)
+			if e.overfull {
+				t.Fatalf("step %d: order %v overfilled the engine", step, order)
+			}
+		}
+	})
+}
+
+// known returns a table of an engine that holds the first adapters.
+func known(t *testing.T, adapters int) *residency.Table {
+	t.Helper()
+	table := residency.NewTable(residency.DefaultConfig())
+	report := residency.Report{Started: 1, Sequence: 7, Models: []serving.HeldModel{{Name: model}}}
+	for i := range adapters {
+		report.Models[0].Adapters = append(report.Models[0].Adapters, ids.AdapterRef{Adapter: key(i).Adapter, Version: 1})
+	}
+	table.Apply(start, start, report)
+	assert.Assert(t, table.Known())
+	return table
+}
+
+// Guards against the eviction of an adapter that serves requests, or that has
+// just been loaded for requests that wait, while idle ones are held.
+func TestIdleAdapterIsEvictedFirst(t *testing.T) {
+	table := known(t, 4)
+	now := start.Add(5 * time.Second)
+	for _, i := range []int{0, 1, 3} {
+		table.Used(now, key(i), 3)
+	}
+	table.Want(residency.Want{Key: key(9), Since: now})
+	order, due := table.Next(now, limits, true, map[serving.AdapterKey]bool{key(2): true})
+	assert.Assert(t, due)
+	assert.Equal(t, order.Kind, residency.UnloadAdapter)
+	assert.Assert(t, order.Adapter != key(2).Adapter, "an adapter with open requests was evicted")
+	table.Finish(now, order, residency.Done)
+	order, due = table.Next(now, limits, true, nil)
+	assert.Assert(t, due)
+	assert.Equal(t, order.Adapter, key(9).Adapter)
+	assert.Equal(t, order.Sequence, uint64(8))
+	table.Finish(now, order, residency.Accepted)
+	now = now.Add(300 * time.Millisecond)
+	table.Want(residency.Want{Key: key(8), Since: now})
+	order, due = table.Next(now, limits, true, nil)
+	assert.Assert(t, due)
+	assert.Assert(t, order.Adapter != key(9).Adapter, "an adapter that has just come was evicted")
+}
+
+// Guards against a report from before the last order, which would put the
+// table back and make the next orders conflict.
+func TestLaggingReportChangesNothing(t *testing.T) {
+	table := known(t, 1)
+	table.Want(residency.Want{Key: key(5), Since: start})
+	order, due := table.Next(start, limits, true, nil)
+	assert.Assert(t, due)
+	table.Finish(start, order, residency.Accepted)
+	table.Apply(start, start, residency.Report{Started: 1, Sequence: 7, Models: []serving.HeldModel{{Name: model}}})
+	_, found := table.Find(key(5), 0)
+	assert.Assert(t, found)
+}
+
+// Guards against orders on the state from before a restart under the same id.
+func TestRestartIsSeenByItsStart(t *testing.T) {
+	table := known(t, 3)
+	table.Apply(start, start, residency.Report{Started: 2, Sequence: 0, Models: []serving.HeldModel{{Name: model}}})
+	_, found := table.Find(key(0), 0)
+	assert.Assert(t, !found)
+	table.Apply(start, start, residency.Report{Started: 1, Sequence: 9, Models: []serving.HeldModel{{Name: model}}})
+	table.Want(residency.Want{Key: key(0), Since: start})
+	order, due := table.Next(start, limits, true, nil)
+	assert.Assert(t, due)
+	assert.Equal(t, order.Sequence, uint64(0))
+}
+
+// Guards against an engine without its base model after a crash, and against
+// loads of base models beyond the weight store's rate.
+func TestEmptyEngineGetsItsModelWhenTheStoreHasRoom(t *testing.T) {
+	table := residency.NewTable(residency.DefaultConfig())
+	table.Apply(start, start, residency.Report{Started: 1})
+	table.Want(residency.Want{Key: key(0), Since: start})
+	_, due := table.Next(start, limits, false, nil)
+	assert.Assert(t, !due)
+	order, due := table.Next(start, limits, true, nil)
+	assert.Assert(t, due)
+	assert.Equal(t, order.Kind, residency.LoadModel)
+}
+
+// Guards against an adapter whose newer version was declared and that goes on
+// being served in the older one.
+func TestNewerVersionReplacesTheHeldOne(t *testing.T) {
+	table := known(t, 4)
+	_, found := table.Find(key(0), 2)
+	assert.Assert(t, !found)
+	table.Want(residency.Want{Key: key(0), Version: 2, Since: start})
+	order, due := table.Next(start, limits, true, nil)
+	assert.Assert(t, due)
+	assert.Equal(t, order.Kind, residency.LoadAdapter)
+	assert.Equal(t, order.Version, ids.AdapterVersion(2))
+}
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -73,9 +73,15 @@
 	return changed
 }
 
+// merge takes items that are newer than what the mirror has. Since it is
+// complete through a revision, an item at or below that which it does not hold
+// was removed since, as an old listing that arrives late may show.
 func (m *Mirror) merge(items []Item) []Item {
 	var changed []Item
 	for _, item := range items {
+		if item.Revision <= m.through {
+			continue
+		}
 		if held, known := m.items[item.Key]; known && held.Revision >= item.Revision {
 			continue
 		}
--- /dev/null
+++ b/pkg/state/mirror/mirror_test.go
@@ -0,0 +1,89 @@
+package mirror_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/state/mirror"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 41, 300) }
+
+// Guards against an older value that replaces a newer one, or a removed key
+// that comes back, whatever order deltas and listings arrive in.
+func TestNothingReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		m := mirror.New()
+		seen := make(map[string]ids.Revision)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			upTo := rapid.IntRange(0, len(history)).Draw(t, "upTo")
+			if rapid.Bool().Draw(t, "listing") {
+				m.Replace(listingAt(history, upTo), ids.Revision(upTo))
+			} else {
+				from := rapid.IntRange(0, min(upTo, int(m.Through()))).Draw(t, "from")
+				m.Apply(mirror.Delta{Items: history[from:upTo], Through: ids.Revision(upTo)})
+			}
+			for _, item := range m.Since(0).Items {
+				if item.Revision < seen[item.Key] {
+					t.Fatalf("key %s went from revision %d back to %d", item.Key, seen[item.Key], item.Revision)
+				}
+				seen[item.Key] = item.Revision
+			}
+		}
+		through := int(m.Through())
+		want := make(map[string]string)
+		for _, item := range listingAt(history, through) {
+			want[item.Key] = string(item.Value)
+		}
+		got := make(map[string]string)
+		for _, item := range m.WithPrefix("") {
+			got[item.Key] = string(item.Value)
+		}
+		assert.DeepEqual(t, got, want)
+	})
+}
+
+// Guards against a VM that starts from a peer's delta and keeps a key that was
+// removed before the peer told it.
+func TestDeltaCarriesRemovals(t *testing.T) {
+	a, b := mirror.New(), mirror.New()
+	a.Replace([]mirror.Item{{Key: "x", Value: []byte("1"), Revision: 1}, {Key: "y", Value: []byte("1"), Revision: 2}}, 2)
+	b.Apply(a.Since(0))
+	a.Replace([]mirror.Item{{Key: "y", Value: []byte("1"), Revision: 2}}, 5)
+	b.Apply(a.Since(b.Through()))
+	assert.Equal(t, len(b.WithPrefix("x")), 0)
+	assert.Equal(t, b.Through(), ids.Revision(5))
+}
+
+func drawHistory(t *rapid.T) []mirror.Item {
+	var history []mirror.Item
+	for i := range rapid.IntRange(1, 30).Draw(t, "changes") {
+		item := mirror.Item{Key: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"), Revision: ids.Revision(i + 1)}
+		if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+			item.Deleted = true
+		} else {
+			item.Value = []byte{byte('0' + i%10)}
+		}
+		history = append(history, item)
+	}
+	return history
+}
+
+func listingAt(history []mirror.Item, upTo int) []mirror.Item {
+	last := make(map[string]mirror.Item)
+	for _, item := range history[:upTo] {
+		last[item.Key] = item
+	}
+	var items []mirror.Item
+	for _, item := range last {
+		if !item.Deleted {
+			items = append(items, item)
+		}
+	}
+	return items
+}
