Learn how long loads take, and ask the next home when one is busy

Cause: the owner took every load for done after 250 ms, but loads share the store's bandwidth, so engines denied the adapter (421), the repeat budget ran out, and a fifth load met the engine's limit of four. An engine's denial now lengthens the estimate and asks for a report, orders go on, and a request asks up to three homes. Expect-Version is no longer sent: it also refuses newer versions than the one named. Caps: after a restart or a partition a customer far below its rate was refused for seconds, since what peers told at once became debt without bound (TestNoRefusalWithinTheRateAfterAPartition); debt from peers is now at most 0.3 bursts and a bucket starts with a quarter of the burst. Ruled out: restarted workers as the source of the 421s (the engines held their models).

--- a/pkg/coordination/caps/caps.go
+++ b/pkg/coordination/caps/caps.go
@@ -41,7 +41,7 @@
 }
 
 // New returns caps without use. Buckets start full if the whole system starts
-// for the first time, otherwise empty.
+// for the first time, otherwise with a part of the burst.
 func New(full bool) *Caps {
 	return &Caps{buckets: make(map[ids.CustomerID]*bucket), own: make(Totals), peers: make(map[ids.VMID]*peerTotals), share: 1, full: full}
 }
@@ -61,9 +61,14 @@
 	largestNeed = 0.5
 	// generationReserve is kept for plain requests, which cost a tenth of a
 	// generation, and urgencyStep for each level of urgency above a request's.
-	generationReserve = 0.1
-	urgencyStep       = 0.08
-	maxReserve        = 0.4
+	generationReserve = 0.05
+	urgencyStep       = 0.05
+	maxReserve        = 0.3
+	// startLevel is what a bucket holds when a VM starts: enough for its first
+	// requests until it has heard the others. Eight VMs that start together
+	// with a flood at each admit two bursts, the last of them a quarter of a
+	// second later.
+	startLevel = 0.25
 )
 
 // Demand is what a request asks of its customer's cap.
@@ -95,7 +100,7 @@
 	b := c.refill(now, customer, limit)
 	if need := demand.need(limit.Burst); b.level < need {
 		rate := limit.Rate * c.share
-		return false, time.Duration((need - b.level) / rate * float64(time.Second))
+		return false, max(time.Duration((need-b.level)/rate*float64(time.Second)), minRetry)
 	}
 	b.level -= float64(demand.Cost)
 	c.own[customer] += demand.Cost
@@ -115,7 +120,7 @@
 func (c *Caps) refill(now time.Time, customer ids.CustomerID, limit Limit) *bucket {
 	b := c.buckets[customer]
 	if b == nil {
-		b = &bucket{at: now, limit: limit}
+		b = &bucket{at: now, limit: limit, level: startLevel * limit.Burst}
 		if c.full {
 			b.level = limit.Burst
 		}
@@ -156,7 +161,10 @@
 		}
 		if b := c.buckets[customer]; b != nil {
 			c.refill(now, customer, b.limit)
-			b.level = b.level - float64(added)
+			// What a peer tells after a silence was used while this bucket was
+			// capped at the burst, so only a part of it is still owed.
+			floor := min(b.level, -peerDebt*b.limit.Burst)
+			b.level = max(b.level-float64(added), floor)
 		}
 	}
 	if len(totals) > 0 {
@@ -164,5 +172,12 @@
 	}
 }
 
+// minRetry keeps a refused caller from coming back at once.
+const minRetry = 20 * time.Millisecond
+
+// peerDebt bounds, in bursts, the debt that the totals of others leave. Without
+// it a customer is refused for seconds after a partition or a restart.
+const peerDebt = 0.3
+
 // freshRun is the uptime below which a peer's totals count from zero.
 const freshRun = 2 * time.Second
--- a/pkg/coordination/caps/caps_test.go
+++ b/pkg/coordination/caps/caps_test.go
@@ -142,3 +142,18 @@
 	assert.Assert(t, !ok)
 	assert.Assert(t, after >= 2*time.Second, "the debt is not repaid: %v", after)
 }
+
+// Guards against a customer far below its rate that is refused for seconds
+// after a partition has healed, when the use of the other side is told at once.
+func TestNoRefusalWithinTheRateAfterAPartition(t *testing.T) {
+	limit := caps.Limit{Rate: 1000, Burst: 1000}
+	demand := caps.Demand{Cost: 50, Generation: true, Urgency: 2}
+	c := caps.New(true)
+	ok, _ := c.Admit(start, customer, limit, demand)
+	assert.Assert(t, ok)
+	c.Hear(start, "peer", "1", time.Minute, caps.Totals{customer: 100})
+	healed := start.Add(5 * time.Second)
+	c.Hear(healed, "peer", "1", time.Minute, caps.Totals{customer: 100 + 5*500})
+	ok, _ = c.Admit(healed.Add(time.Second), customer, limit, demand)
+	assert.Assert(t, ok)
+}
--- a/pkg/coordination/residency/table.go
+++ b/pkg/coordination/residency/table.go
@@ -107,6 +107,8 @@
 	Loading bool
 	// Leaving adapters are unloaded when their requests have ended.
 	Leaving bool
+	// ordered is when the load was ordered; zero if it is not known.
+	ordered time.Time
 }
 
 // Report is an engine's own account.
@@ -151,6 +153,10 @@
 	uses     map[serving.AdapterKey]*use
 	wants    map[serving.AdapterKey]*Want
 
+	// loadTime is the time that loads take now, learned from engines that
+	// were asked too early.
+	loadTime time.Duration
+
 	pending   *Order
 	pendingAt time.Time
 	// trustAfter is when a report was asked for at the earliest that shows
@@ -161,6 +167,9 @@
 	// pauseUntil holds orders back after a conflict.
 	pauseUntil time.Time
 	conflicts  int
+	// contradicted is set until the next report after the engine denied what
+	// the table says.
+	contradicted bool
 	// version counts the changes of what is held.
 	version uint64
 }
@@ -168,11 +177,12 @@
 // NewTable returns the account of an engine of which nothing is known.
 func NewTable(config Config) *Table {
 	return &Table{
-		config: config,
-		models: make(map[string]bool),
-		held:   make(map[serving.AdapterKey]*Held),
-		uses:   make(map[serving.AdapterKey]*use),
-		wants:  make(map[serving.AdapterKey]*Want),
+		config:   config,
+		loadTime: config.LoadTime,
+		models:   make(map[string]bool),
+		held:     make(map[serving.AdapterKey]*Held),
+		uses:     make(map[serving.AdapterKey]*use),
+		wants:    make(map[serving.AdapterKey]*Want),
 	}
 }
 
@@ -218,7 +228,7 @@
 			key := serving.AdapterKey{Model: model.Name, Adapter: ref.Adapter}
 			t.held[key] = &Held{Version: ref.Version, Ready: now}
 			if old := before[key]; old != nil && !restarted {
-				t.held[key].Leaving = old.Leaving
+				t.held[key].Leaving, t.held[key].ordered = old.Leaving, old.ordered
 				if !old.Loading || old.Ready.Before(now) {
 					t.held[key].Ready = old.Ready
 				}
@@ -226,13 +236,14 @@
 		}
 	}
 	for _, coming := range report.Coming {
-		entry := &Held{Version: coming.Version, Ready: now.Add(t.config.LoadTime), Loading: true}
+		entry := &Held{Version: coming.Version, Ready: now.Add(t.loadTime), Loading: true, ordered: now}
 		if old := before[coming.Key]; old != nil && !restarted && old.Version == coming.Version {
-			entry.Ready = old.Ready
+			entry.Ready, entry.ordered = old.Ready, old.ordered
 		}
 		t.held[coming.Key] = entry
 	}
 	t.sequence = report.Sequence
+	t.contradicted = false
 	t.modelBusy = report.Busy
 	t.known = true
 	t.version++
@@ -381,6 +392,7 @@
 	for _, entry := range t.held {
 		if entry.Loading && !now.Before(entry.Ready) {
 			entry.Loading = false
+			t.loadTime = max(t.loadTime-loadTimeStep, t.config.LoadTime)
 			t.version++
 		}
 	}
@@ -476,6 +488,10 @@
 		// while; only a conflict that lasts puts the table in doubt.
 		t.pauseUntil = now.Add(conflictPause)
 		t.conflicts++
+		if order.Kind == LoadAdapter {
+			// More may be on the way than the estimate says.
+			t.loadTime = min(t.loadTime+deniedStep/2, maxLoadTime)
+		}
 		if t.conflicts >= conflictsForDoubt {
 			t.conflicts = 0
 			t.doubt(now)
@@ -510,11 +526,11 @@
 	t.version++
 	switch order.Kind {
 	case LoadAdapter:
-		ready := now.Add(t.loadTime())
+		ready := now.Add(t.loadTime)
 		if done {
 			ready = now
 		}
-		t.held[key] = &Held{Version: order.Version, Ready: ready, Loading: !done}
+		t.held[key] = &Held{Version: order.Version, Ready: ready, Loading: !done, ordered: now}
 		delete(t.wants, key)
 	case UnloadAdapter:
 		if done {
@@ -534,9 +550,9 @@
 	}
 }
 
-// Doubt stops orders until a fresh report is applied, since the engine
-// contradicted the table.
-func (t *Table) Doubt(now time.Time) { t.doubt(now) }
+// Contradicted reports whether a report should be asked for soon, since the
+// engine denied what the table says.
+func (t *Table) Contradicted() bool { return t.contradicted }
 
 // ModelBusy reports whether the engine is loading a model.
 func (t *Table) ModelBusy() bool { return t.modelBusy }
@@ -544,11 +560,41 @@
 // Backlog estimates when one more adapter would be there behind others.
 func (t *Table) Backlog(now time.Time, ahead int) time.Duration {
 	rounds := (ahead+t.transit())/t.config.MaxTransit + 1
-	return time.Duration(rounds) * t.loadTime()
+	return time.Duration(rounds) * t.loadTime
 }
 
-// loadTime estimates a load: engines share the store's bandwidth.
-func (t *Table) loadTime() time.Duration { return t.config.LoadTime }
+// Figures of the estimate of a load's time. Engines share the bandwidth of the
+// weight store, so loads take longer while many are on their way anywhere.
+const (
+	// loadTimeStep is taken off with each load that was not asked for too
+	// early.
+	loadTimeStep = 3 * time.Millisecond
+	// deniedStep is the pause before an engine that was asked too early is
+	// asked again.
+	deniedStep  = 70 * time.Millisecond
+	maxLoadTime = 1500 * time.Millisecond
+	// lateLoad is the age of a load from which an engine that denies having
+	// the adapter has lost it.
+	lateLoad = 3 * time.Second
+)
+
+// Denied takes an engine's word that it does not have an adapter that the
+// table holds: it is still loading, or the engine has lost what it held.
+func (t *Table) Denied(now time.Time, key serving.AdapterKey) {
+	entry := t.held[key]
+	if entry == nil || entry.Leaving || entry.Loading && entry.Ready.After(now) {
+		return
+	}
+	age := now.Sub(entry.ordered)
+	t.contradicted = true
+	if entry.ordered.IsZero() || age > lateLoad {
+		t.doubt(now)
+		return
+	}
+	t.loadTime = min(max(t.loadTime, age)+deniedStep/2, maxLoadTime)
+	entry.Loading, entry.Ready = true, now.Add(deniedStep)
+	t.version++
+}
 
 // Version counts the changes of what is held.
 func (t *Table) Version() uint64 { return t.version }
--- a/pkg/coordination/residency/table_test.go
+++ b/pkg/coordination/residency/table_test.go
@@ -232,3 +232,36 @@
 	assert.Equal(t, order.Kind, residency.LoadAdapter)
 	assert.Equal(t, order.Version, ids.AdapterVersion(2))
 }
+
+// Guards against a rare adapter that is asked for too early again and again
+// while many loads share the weight store's bandwidth, and against an owner
+// that stops all orders for it.
+func TestLoadTimeIsLearnedFromEarlyRequests(t *testing.T) {
+	table := known(t, 0)
+	load := func(now time.Time, i int) residency.Order {
+		table.Want(residency.Want{Key: key(i), Since: now})
+		order, due := table.Next(now, limits, true, nil)
+		assert.Assert(t, due)
+		table.Finish(now, order, residency.Accepted)
+		return order
+	}
+	load(start, 0)
+	early := start.Add(260 * time.Millisecond)
+	held, found := table.Find(key(0), 0)
+	assert.Assert(t, found && !held.Ready.After(early))
+	table.Denied(early, key(0))
+	held, found = table.Find(key(0), 0)
+	assert.Assert(t, found && held.Ready.After(early), "the request goes to the engine again at once")
+	assert.Assert(t, table.Known(), "orders stop although the load has just been ordered")
+	load(early, 1)
+	held, _ = table.Find(key(1), 0)
+	assert.Assert(t, held.Ready.Sub(early) > residency.DefaultConfig().LoadTime)
+}
+
+// Guards against an owner that believes for good that an engine has an adapter
+// which it has lost.
+func TestLostAdapterPutsTheTableInDoubt(t *testing.T) {
+	table := known(t, 1)
+	table.Denied(start.Add(10*time.Second), key(0))
+	assert.Assert(t, !table.Known())
+}
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -92,7 +92,13 @@
 			return nil, refuseNoEndpoint()
 		}
 		required := n.declared.required(now, p.request.AdapterKey(), time.Duration(versionGrace*float64(n.settings.Bounds.AdapterVersion)))
-		p.minVersion = required
+		if p.denied != nil {
+			denied := p.denied
+			p.denied = nil
+			if refused := n.ensureAt(ctx, p, denied, true, required, limit); refused != nil {
+				return nil, refused
+			}
+		}
 		holders, soon := n.holders(now, endpoints, p.request.AdapterKey(), required)
 		if e := n.pick(now, holders, p.salt); e != nil {
 			n.considerCopy(now, p, e, endpoints)
@@ -157,13 +163,14 @@
 	return n.balancer.Pick(now, endpoints, salt)
 }
 
-// home returns the engine that should get an adapter that none holds.
-func (n *Node) home(now time.Time, key serving.AdapterKey, endpoints []*serving.Endpoint) *serving.Endpoint {
+// home returns the engine that should get an adapter that none holds, without
+// those that cannot load it in time.
+func (n *Node) home(now time.Time, p *progress, endpoints []*serving.Endpoint) *serving.Endpoint {
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
 	var candidates []*serving.Endpoint
-	for _, e := range balance.Rank(key.String(), endpoints) {
-		if _, known := n.residents.free(e.ID); known && n.balancer.Available(now, e.ID) {
+	for _, e := range balance.Rank(p.request.AdapterKey().String(), endpoints) {
+		if _, known := n.residents.free(e.ID); known && !p.full[e.ID] && n.balancer.Available(now, e.ID) {
 			candidates = append(candidates, e)
 		}
 		if len(candidates) == homes {
@@ -191,26 +198,33 @@
 	homeMargin  = 1.0
 )
 
+// maxHomes bounds the engines that are asked for one request.
+const maxHomes = 3
+
 // ensureAtHome asks the owner of an adapter's home engine to load it. It
 // returns nil where another look at the engines is due.
 func (n *Node) ensureAtHome(ctx context.Context, p *progress, endpoints []*serving.Endpoint, required ids.AdapterVersion, limit time.Time) *refusal {
-	now := time.Now()
-	key := p.request.AdapterKey()
-	home := n.home(now, key, endpoints)
+	home := n.home(time.Now(), p, endpoints)
 	if home == nil {
 		sleep(ctx, placePause)
 		return nil
 	}
-	reply, err := n.ensure(ctx, home, ensureRequest{
-		Endpoint: home.ID,
+	return n.ensureAt(ctx, p, home, false, required, limit)
+}
+
+// ensureAt asks the owner of an engine to load the request's adapter. Missing
+// tells that the engine denied having it.
+func (n *Node) ensureAt(ctx context.Context, p *progress, e *serving.Endpoint, missing bool, required ids.AdapterVersion, limit time.Time) *refusal {
+	key := p.request.AdapterKey()
+	reply, err := n.ensure(ctx, e, ensureRequest{
+		Endpoint: e.ID,
 		Key:      key,
 		Version:  max(required, n.declared.newest(key)),
 		Urgency:  p.request.Urgency,
-		WaitMs:   max(limit.Sub(now).Milliseconds(), 1),
-		Missing:  p.denied[home.ID],
+		WaitMs:   max(time.Until(limit).Milliseconds(), 1),
+		Missing:  missing,
 	})
 	p.ensures++
-	delete(p.denied, home.ID)
 	switch {
 	case ctx.Err() != nil:
 		return refuseTime()
@@ -219,12 +233,16 @@
 		sleep(ctx, placePause)
 		return nil
 	case reply.Status == ensureBusy:
-		return refuseBusy(time.Duration(reply.RetryMs)*time.Millisecond, "no adapter slot in time")
+		p.full[e.ID] = true
+		if len(p.full) >= maxHomes {
+			return refuseBusy(time.Duration(reply.RetryMs)*time.Millisecond, "no adapter slot in time")
+		}
+		return nil
 	case reply.Status == ensureNotOwner:
 		sleep(ctx, placePause)
 		return nil
 	}
-	n.residents.assume(time.Now(), home.ID, key, reply.Version)
+	n.residents.assume(time.Now(), e.ID, key, reply.Version)
 	return nil
 }
 
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -37,11 +37,12 @@
 	body    []byte
 	salt    uint64
 
-	minVersion ids.AdapterVersion
 	// avoid holds the endpoints that this request is not sent to again.
 	avoid map[ids.EndpointID]bool
-	// denied holds the engines that denied having the adapter.
-	denied map[ids.EndpointID]bool
+	// denied is the engine that last denied having the adapter.
+	denied *serving.Endpoint
+	// full holds the engines that cannot load the adapter in time.
+	full map[ids.EndpointID]bool
 	// runs counts the endpoints at which the request may have begun to run.
 	runs    int
 	sends   int
@@ -64,7 +65,7 @@
 	p := &progress{
 		request: &serving.Request{ID: call.ID, Arrived: arrived},
 		header:  r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
-		avoid: make(map[ids.EndpointID]bool), denied: make(map[ids.EndpointID]bool),
+		avoid: make(map[ids.EndpointID]bool), full: make(map[ids.EndpointID]bool),
 		salt: n.salt.Add(1),
 	}
 	if err != nil {
--- a/pkg/node/forward.go
+++ b/pkg/node/forward.go
@@ -114,11 +114,12 @@
 func (n *Node) afterShed(ctx context.Context, p *progress, endpoint *serving.Endpoint, result sendResult) {
 	key := p.request.AdapterKey()
 	if result.misdirected {
-		n.residents.refute(endpoint.ID, key)
-		p.denied[endpoint.ID] = true
-		if result.other {
+		if result.other || p.request.Adapter == "" {
 			p.avoid[endpoint.ID] = true
+			return
 		}
+		n.residents.deny(time.Now(), endpoint.ID, key)
+		p.denied = endpoint
 		return
 	}
 	held, found := n.residents.find(endpoint.ID, key, 0)
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -87,10 +87,8 @@
 	TimeLeft time.Duration
 	Customer ids.CustomerID
 	// Urgent is set where Urgency is to be told; 0 is the most urgent.
-	Urgent  bool
-	Urgency int
-	// MinVersion, if set, is the adapter's version that the endpoint must have.
-	MinVersion  ids.AdapterVersion
+	Urgent      bool
+	Urgency     int
 	ResumeAfter string
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -38,7 +38,7 @@
 	confirmAfterStall = 600 * time.Millisecond
 	// repeatShare is the part of the operators' bound on repeats that is used,
 	// since VMs count on their own.
-	repeatShare = 0.6
+	repeatShare = 0.8
 )
 
 // Options are the outside of a VM.
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -154,6 +154,8 @@
 		return age >= doubtInterval
 	case !e.table.Known():
 		return false
+	case e.table.Contradicted():
+		return age >= doubtInterval
 	case e.table.Leaving() || e.table.ModelBusy():
 		return age >= changeInterval
 	}
@@ -375,10 +377,8 @@
 	if e == nil {
 		return ensureReply{Status: ensureNotOwner}, false
 	}
-	if first && request.Missing && e.table.Known() {
-		if _, found := e.table.Find(request.Key, request.Version); found {
-			e.table.Doubt(now)
-		}
+	if first && request.Missing {
+		e.table.Denied(now, request.Key)
 	}
 	if held, found := e.table.Find(request.Key, request.Version); found && e.table.Known() {
 		return ensureReply{Status: ensureResident, Version: held.Version}, held.Ready.After(now)
--- a/pkg/node/residents.go
+++ b/pkg/node/residents.go
@@ -116,20 +116,29 @@
 		view = &engineView{held: make(map[serving.AdapterKey]residency.Held)}
 		r.engines[id] = view
 	}
-	if held, known := view.held[key]; !known || held.Version < version || held.Leaving {
+	if held, known := view.held[key]; !known || held.Version < version || held.Leaving || held.Ready.After(now) {
 		view.held[key] = residency.Held{Version: version, Ready: now}
 	}
 }
 
-// refute drops an adapter that the engine says it does not have.
-func (r *residents) refute(id ids.EndpointID, key serving.AdapterKey) {
+// deny notes that an engine does not have an adapter yet, so that other
+// requests for it wait.
+func (r *residents) deny(now time.Time, id ids.EndpointID, key serving.AdapterKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if view := r.engines[id]; view != nil {
-		delete(view.held, key)
+	view := r.engines[id]
+	if view == nil {
+		return
+	}
+	if held, known := view.held[key]; known {
+		held.Ready = now.Add(denyPause)
+		view.held[key] = held
 	}
 }
 
+// denyPause is the time in which the owner is asked again.
+const denyPause = 60 * time.Millisecond
+
 // forget drops all that is known of engines that are gone or restarted.
 func (r *residents) forget(id ids.EndpointID) {
 	r.mu.Lock()
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -179,7 +179,7 @@
 // outgoing builds the request for an endpoint. The target stands exactly as
 // the caller sent it.
 func (n *Node) outgoing(ctx context.Context, p *progress, e *serving.Endpoint, left time.Duration) *http.Request {
-	send := Send{Endpoint: e, TimeLeft: left, MinVersion: p.minVersion, ResumeAfter: p.lastEvent}
+	send := Send{Endpoint: e, TimeLeft: left, ResumeAfter: p.lastEvent}
 	if p.request.Customer != nil {
 		send.Customer = p.request.Customer.ID
 	}
