--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -212,7 +212,7 @@
 
 // Guards against a reason that callers meet and no page explains.
 func TestEveryReasonIsOnThePage(t *testing.T) {
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	assert.NilError(t, err)
 	for number, name := range inferencev1.Reason_name {
 		if row := "| " + strings.TrimPrefix(name, "REASON_") + " |"; number != 0 {
@@ -223,7 +223,7 @@
 
 // Guards against a metric that operators meet and no page explains.
 func TestEveryMetricIsOnThePage(t *testing.T) {
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	assert.NilError(t, err)
 	names := []string{
 		observability.MetricRequests, observability.MetricFirstToken, observability.MetricTokenGap, observability.MetricTarget,
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -216,6 +216,9 @@
 // tells that the engine denied having it.
 func (n *Node) ensureAt(ctx context.Context, p *progress, e *serving.Endpoint, missing bool, required ids.AdapterVersion, limit time.Time) *refusal {
 	key := p.request.AdapterKey()
+	n.membersMu.Lock()
+	p.owner, _ = n.authority.Holder(e.DataCentre)
+	n.membersMu.Unlock()
 	reply, err := n.ensure(ctx, e, ensureRequest{
 		Endpoint: e.ID,
 		Key:      key,
@@ -225,6 +228,7 @@
 		Missing:  missing,
 	})
 	p.ensures++
+	p.home = e.ID
 	switch {
 	case ctx.Err() != nil:
 		return refuseTime()
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -48,6 +48,10 @@
 	sends   int
 	ensures int
 	last    ids.EndpointID
+	// home is the engine whose owner was last asked for the adapter, and owner
+	// that VM.
+	home  ids.EndpointID
+	owner ids.VMID
 	// lastEvent is the id of the last event that the caller got.
 	lastEvent string
 	committed bool
--- a/pkg/node/notes.go
+++ b/pkg/node/notes.go
@@ -93,6 +93,9 @@
 	if r.Adapter != "" {
 		f["adapter"] = r.AdapterKey().String()
 		f["ensures"] = p.ensures
+		if p.home != "" {
+			f["home"], f["owner"] = p.home, p.owner
+		}
 	}
 	if !p.firstByte.IsZero() {
 		f["firstMs"] = p.firstByte.Sub(r.Arrived).Milliseconds()
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -355,17 +355,30 @@
 			return reply
 		}
 		if ctx.Err() != nil || !now.Before(deadline) {
-			o.mu.Lock()
-			if e := o.engines[request.Endpoint]; e != nil {
-				e.table.Drop(request.Key)
-			}
-			o.mu.Unlock()
+			o.giveUp(now, request)
 			return ensureReply{Status: ensureBusy, RetryMs: retryAfterBusy.Milliseconds()}
 		}
 		sleep(ctx, ensurePoll)
 	}
 }
 
+// giveUp drops the demand for an adapter that did not come in time, and logs
+// what held it up.
+func (o *owner) giveUp(now time.Time, request ensureRequest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.engines[request.Endpoint]
+	if e == nil {
+		return
+	}
+	e.table.Drop(request.Key)
+	used, capacity := e.table.Slots(e.limits)
+	o.node.note("adapter wait ended", fields{
+		"endpoint": request.Endpoint, "adapter": request.Key.String(), "waitedMs": request.WaitMs, "known": e.table.Known(),
+		"reportAgeMs": now.Sub(e.reported).Milliseconds(), "wants": e.table.Wants(), "adapters": used, "slots": capacity, "backlogMs": e.table.Backlog(now, e.table.Wants()).Milliseconds(),
+	})
+}
+
 // retryAfterBusy is told to callers whose adapter had no slot in time: about
 // the time in which an engine turns over a fifth of its slots.
 const retryAfterBusy = 800 * time.Millisecond
