Copy an adapter only for repeated demand at a VM

A VM now asks for a copy at the third request within 1.5 s that finds the holders overloaded. Adapters of engines that are gone or restarted are forgotten at once.

--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -21,8 +21,11 @@
 	// copyExcess is how much more load than the least loaded engine the
 	// holders of an adapter carry before another engine gets a copy.
 	copyExcess = 4.0
-	// copyPause is the time between two copies of an adapter from one VM.
+	// copyPause is the time in which one VM asks for one copy of an adapter.
 	copyPause = 1500 * time.Millisecond
+	// copyDemand is the requests of one VM within that time for which a copy
+	// pays; fewer leave the weight store to adapters that no engine has.
+	copyDemand = 3
 	// ensureSlack is added to the time of a call to an owner that waits.
 	ensureSlack = 100 * time.Millisecond
 	// placePause is the pause before another look at the engines.
@@ -309,19 +312,28 @@
 	}()
 }
 
-// pacer bounds how often something is done for each adapter.
+// pacer allows something for an adapter once it has been asked for often
+// enough within a pause, and then not again before the next pause.
 type pacer struct {
 	mu    sync.Mutex
-	last  map[serving.AdapterKey]time.Time
+	last  map[serving.AdapterKey]demandCount
 	pause time.Duration
+	need  int
+}
+
+type demandCount struct {
+	since time.Time
+	count int
 }
 
 func (c *pacer) due(now time.Time, key serving.AdapterKey) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.last[key]) < c.pause {
-		return false
+	demand := c.last[key]
+	if now.Sub(demand.since) >= c.pause {
+		demand = demandCount{since: now}
 	}
-	c.last[key] = now
-	return true
+	demand.count++
+	c.last[key] = demand
+	return demand.count == c.need
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -132,7 +132,7 @@
 		balancer:  balance.New(balance.DefaultConfig(settings.DataCentre)),
 		budgets:   make(map[string]*retrybudget.Budget),
 		residents: newResidents(),
-		copies:    &pacer{last: make(map[adapterKey]time.Time), pause: copyPause},
+		copies:    &pacer{last: make(map[adapterKey]demandCount), pause: copyPause, need: copyDemand},
 		pace:      newPace(),
 		calling:   inFlight{open: make(map[ids.VMID]int)},
 		nudge:     make(chan struct{}, 1),
--- a/pkg/node/source.go
+++ b/pkg/node/source.go
@@ -172,19 +172,24 @@
 	n.wake()
 }
 
-// noteChanges logs what a change of the store made the VM believe.
+// noteChanges logs what a change of the store made the VM believe, and forgets
+// the adapters of engines that are gone or have restarted.
 func (n *Node) noteChanges(before, after *directory.View, from string) {
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
 		n.note("configuration in force", fields{"version": after.Config.Version, "routes": len(after.Config.Routes), "from": from, "through": n.mirror.Through()})
 	}
 	for id, endpoint := range after.Endpoints {
 		old := before.Endpoints[id]
+		if old != nil && old.Started != endpoint.Started {
+			n.residents.forget(id)
+		}
 		if old == nil || old.Leaving != endpoint.Leaving || old.Started != endpoint.Started || old.Address != endpoint.Address {
 			n.note("endpoint registered", fields{"endpoint": id, "service": endpoint.Service, "dataCentre": endpoint.DataCentre, "leaving": endpoint.Leaving, "from": from})
 		}
 	}
 	for id := range before.Endpoints {
 		if after.Endpoints[id] == nil {
+			n.residents.forget(id)
 			n.note("endpoint gone", fields{"endpoint": id, "from": from})
 		}
 	}
