--- a/pkg/coordination/balance/balance.go
+++ b/pkg/coordination/balance/balance.go
@@ -29,6 +29,9 @@
 	// PauseWeight is the load that an engine counts as carrying more if all
 	// its streams pause for longer than their objective.
 	PauseWeight float64
+	// PauseMax bounds that load, so that such an engine is still used when the
+	// others are overloaded.
+	PauseMax float64
 	// PauseHalfLife is that of the counts of streams and late pauses.
 	PauseHalfLife time.Duration
 	// PeerLoadAge is how long a peer's load report counts.
@@ -46,6 +49,7 @@
 		EjectMax:      4 * time.Second,
 		FailureStreak: 2,
 		PauseWeight:   24,
+		PauseMax:      8,
 		PauseHalfLife: 10 * time.Second,
 		PeerLoadAge:   1500 * time.Millisecond,
 	}
@@ -214,7 +218,7 @@
 // Weight returns the load of an endpoint as one number.
 func (b *Balancer) Weight(now time.Time, id ids.EndpointID) float64 {
 	total := b.Total(now, id)
-	return float64(total.Starting) + b.config.RunningWeight*float64(total.Running) + b.config.PauseWeight*b.pauseRisk(id)
+	return float64(total.Starting) + b.config.RunningWeight*float64(total.Running) + min(b.config.PauseWeight*b.pauseRisk(id), b.config.PauseMax)
 }
 
 // Available reports whether an endpoint may get a request now.
--- a/pkg/coordination/balance/balance_test.go
+++ b/pkg/coordination/balance/balance_test.go
@@ -83,6 +83,19 @@
 	assert.Equal(t, c.Pick(start, endpoints("a", "b"), 0).ID, ids.EndpointID("b"))
 }
 
+// Guards against an engine that stays empty since its streams once paused,
+// while the other engines are overloaded.
+func TestEngineThatPausedIsUsedUnderLoad(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	for range 50 {
+		b.Paused(start, "a", true)
+	}
+	for range 10 {
+		b.Begin(start, "b")
+	}
+	assert.Equal(t, b.Pick(start, endpoints("a", "b"), 0).ID, ids.EndpointID("a"))
+}
+
 // Guards against VMs that choose different homes for one adapter, and against
 // homes that move when an unrelated endpoint comes.
 func TestRankIsTheSameEverywhereAndStable(t *testing.T) {
--- a/pkg/coordination/residency/table.go
+++ b/pkg/coordination/residency/table.go
@@ -153,9 +153,10 @@
 	uses     map[serving.AdapterKey]*use
 	wants    map[serving.AdapterKey]*Want
 
-	// loadTime is the time that loads take now, learned from engines that
-	// were asked too early.
-	loadTime time.Duration
+	// extra is what loads took beyond the configured time, learned at a moment
+	// from engines that were asked too early.
+	extra   time.Duration
+	extraAt time.Time
 
 	pending   *Order
 	pendingAt time.Time
@@ -177,12 +178,11 @@
 // NewTable returns the account of an engine of which nothing is known.
 func NewTable(config Config) *Table {
 	return &Table{
-		config:   config,
-		loadTime: config.LoadTime,
-		models:   make(map[string]bool),
-		held:     make(map[serving.AdapterKey]*Held),
-		uses:     make(map[serving.AdapterKey]*use),
-		wants:    make(map[serving.AdapterKey]*Want),
+		config: config,
+		models: make(map[string]bool),
+		held:   make(map[serving.AdapterKey]*Held),
+		uses:   make(map[serving.AdapterKey]*use),
+		wants:  make(map[serving.AdapterKey]*Want),
 	}
 }
 
@@ -236,7 +236,7 @@
 		}
 	}
 	for _, coming := range report.Coming {
-		entry := &Held{Version: coming.Version, Ready: now.Add(t.loadTime), Loading: true, ordered: now}
+		entry := &Held{Version: coming.Version, Ready: now.Add(t.loadTime(now)), Loading: true, ordered: now}
 		if old := before[coming.Key]; old != nil && !restarted && old.Version == coming.Version {
 			entry.Ready, entry.ordered = old.Ready, old.ordered
 		}
@@ -392,7 +392,6 @@
 	for _, entry := range t.held {
 		if entry.Loading && !now.Before(entry.Ready) {
 			entry.Loading = false
-			t.loadTime = max(t.loadTime-loadTimeStep, t.config.LoadTime)
 			t.version++
 		}
 	}
@@ -490,7 +489,7 @@
 		t.conflicts++
 		if order.Kind == LoadAdapter {
 			// More may be on the way than the estimate says.
-			t.loadTime = min(t.loadTime+deniedStep/2, maxLoadTime)
+			t.learn(now, t.loadTime(now)+deniedStep/2)
 		}
 		if t.conflicts >= conflictsForDoubt {
 			t.conflicts = 0
@@ -526,7 +525,7 @@
 	t.version++
 	switch order.Kind {
 	case LoadAdapter:
-		ready := now.Add(t.loadTime)
+		ready := now.Add(t.loadTime(now))
 		if done {
 			ready = now
 		}
@@ -560,15 +559,18 @@
 // Backlog estimates when one more adapter would be there behind others.
 func (t *Table) Backlog(now time.Time, ahead int) time.Duration {
 	rounds := (ahead+t.transit())/t.config.MaxTransit + 1
-	return time.Duration(rounds) * t.loadTime
+	if rounds <= 1 {
+		return t.config.LoadTime
+	}
+	return time.Duration(rounds) * t.loadTime(now)
 }
 
 // Figures of the estimate of a load's time. Engines share the bandwidth of the
 // weight store, so loads take longer while many are on their way anywhere.
 const (
-	// loadTimeStep is taken off with each load that was not asked for too
-	// early.
-	loadTimeStep = 3 * time.Millisecond
+	// extraHalfLife is that of what was learned, so that it also falls while
+	// no loads are given.
+	extraHalfLife = 2 * time.Second
 	// deniedStep is the pause before an engine that was asked too early is
 	// asked again.
 	deniedStep  = 70 * time.Millisecond
@@ -578,6 +580,16 @@
 	lateLoad = 3 * time.Second
 )
 
+// loadTime estimates how long a load takes now.
+func (t *Table) loadTime(now time.Time) time.Duration {
+	age := now.Sub(t.extraAt).Seconds() / extraHalfLife.Seconds()
+	return t.config.LoadTime + time.Duration(float64(t.extra)*math.Exp2(-age))
+}
+
+func (t *Table) learn(now time.Time, took time.Duration) {
+	t.extra, t.extraAt = min(took, maxLoadTime)-t.config.LoadTime, now
+}
+
 // Denied takes an engine's word that it does not have an adapter that the
 // table holds: it is still loading, or the engine has lost what it held.
 func (t *Table) Denied(now time.Time, key serving.AdapterKey) {
@@ -591,7 +603,7 @@
 		t.doubt(now)
 		return
 	}
-	t.loadTime = min(max(t.loadTime, age)+deniedStep/2, maxLoadTime)
+	t.learn(now, max(t.loadTime(now), age)+deniedStep/2)
 	entry.Loading, entry.Ready = true, now.Add(deniedStep)
 	t.version++
 }
--- a/pkg/coordination/residency/table_test.go
+++ b/pkg/coordination/residency/table_test.go
@@ -265,3 +265,21 @@
 	table.Denied(start.Add(10*time.Second), key(0))
 	assert.Assert(t, !table.Known())
 }
+
+// Guards against an engine that gets no loads for good: after a restart of the
+// engine the estimate was so long that every request was refused, and without
+// loads it never fell (soak, seeds 145 and 151).
+func TestLoadTimeFallsWithoutLoads(t *testing.T) {
+	table := known(t, 0)
+	table.Want(residency.Want{Key: key(0), Since: start})
+	order, due := table.Next(start, limits, true, nil)
+	assert.Assert(t, due)
+	table.Finish(start, order, residency.Accepted)
+	for i := range 20 {
+		table.Denied(start.Add(time.Duration(300+100*i)*time.Millisecond), key(0))
+	}
+	denied := start.Add(2400 * time.Millisecond)
+	assert.Assert(t, table.Backlog(denied, 8) > time.Second)
+	later := denied.Add(10 * time.Second)
+	assert.Assert(t, table.Backlog(later, 0) < residency.DefaultConfig().LoadTime+50*time.Millisecond)
+}
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -208,6 +208,9 @@
 // returns nil where another look at the engines is due.
 func (n *Node) ensureAtHome(ctx context.Context, p *progress, endpoints []*serving.Endpoint, required ids.AdapterVersion, limit time.Time) *refusal {
 	home := n.home(time.Now(), p, endpoints)
+	if home == nil && len(p.full) > 0 {
+		return refuseBusy(retryAfterBusy, "no adapter slot in time")
+	}
 	if home == nil {
 		sleep(ctx, placePause)
 		return nil
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -73,6 +73,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Sub(last) > stallGap {
+			n.stoodStill.Store(now.UnixNano())
 			n.note("process stood still", fields{"gapMs": now.Sub(last).Milliseconds()})
 			n.membersMu.Lock()
 			n.authority.Suspend(now)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -100,12 +100,14 @@
 	peers     *peers.Node
 	calling   inFlight
 
-	nudge        chan struct{}
-	leaving      atomic.Bool
-	open         atomic.Int64
-	salt         atomic.Uint64
-	aliveVMs     atomic.Int64
-	storeTrouble atomic.Int64
+	nudge    chan struct{}
+	leaving  atomic.Bool
+	open     atomic.Int64
+	salt     atomic.Uint64
+	aliveVMs atomic.Int64
+	// stoodStill is when the process last went on after it did not run, in
+	// Unix nanoseconds.
+	stoodStill atomic.Int64
 
 	ctx     context.Context
 	cancel  context.CancelFunc
--- a/pkg/node/notes.go
+++ b/pkg/node/notes.go
@@ -62,14 +62,22 @@
 
 // noteServed writes the line of a request that had its whole answer.
 func (n *Node) noteServed(p *progress, result sendResult) {
-	if objective := p.request.Route.PauseObjective; objective > 0 && !p.lastPart.IsZero() && p.sends == 1 {
-		n.balanceMu.Lock()
-		n.balancer.Paused(time.Now(), p.last, p.longestGap > objective)
-		n.balanceMu.Unlock()
-	}
+	n.countPause(p)
 	n.end(p, "served", result.status, "", result.bytes)
 }
 
+// countPause tells the balancer whether a stream paused for too long. Streams
+// during which this process itself stood still say nothing of the engine.
+func (n *Node) countPause(p *progress) {
+	objective := p.request.Route.PauseObjective
+	if objective <= 0 || p.lastPart.IsZero() || p.sends != 1 || p.longestGap > stallGap || n.stoodStill.Load() > p.request.Arrived.UnixNano() {
+		return
+	}
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	n.balancer.Paused(time.Now(), p.last, p.longestGap > objective)
+}
+
 // noteEnd writes the line of a request that had no whole answer.
 func (n *Node) noteEnd(p *progress, outcome string, status int, reason string) {
 	n.end(p, outcome, status, reason, 0)
--- a/pkg/node/source.go
+++ b/pkg/node/source.go
@@ -61,7 +61,6 @@
 		}
 		if !lost {
 			n.warn("store lost", err, fields{"through": n.mirror.Through()})
-			n.storeTrouble.Store(time.Now().UnixNano())
 		}
 		lost = true
 		sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
