--- a/cmd/wagtailspoked/main.go
+++ b/cmd/wagtailspoked/main.go
@@ -82,7 +82,12 @@
 			if file == "" {
 				file = os.Getenv(platform.Environment)
 			}
-			return platform.Run(file, level)
+			err := platform.Run(file, level)
+			var field *settings.FieldError
+			if err == nil || errors.As(err, &field) {
+				return err
+			}
+			return &runError{err}
 		},
 	}
 	command.Flags().StringVar(&file, "settings", "", "settings file of the machine; default: the file named by $"+platform.Environment)
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -114,7 +115,7 @@
 		return refuseStatus(http.StatusNotFound, "no route")
 	}
 	p.request.Route = route
-	p.request.Service = view.Config.Services[n.split(route)]
+	p.request.Service = view.Config.Services[split(route)]
 	if p.request.Service == nil {
 		return refuseNoEndpoint()
 	}
@@ -133,8 +134,8 @@
 	return n.checkKey(now, p)
 }
 
-// split picks a service of the route by weight.
-func (n *Node) split(route *serving.Route) string {
+// split picks a service of a route by weight.
+func split(route *serving.Route) string {
 	if len(route.Splits) == 1 {
 		return route.Splits[0].Service
 	}
@@ -145,7 +146,7 @@
 	if total <= 0 {
 		return route.Splits[0].Service
 	}
-	at := n.random(total)
+	at := rand.IntN(total)
 	for _, split := range route.Splits {
 		if at < split.Weight {
 			return split.Service
--- a/pkg/node/forward.go
+++ b/pkg/node/forward.go
@@ -69,7 +69,7 @@
 			return
 		case r.Context().Err() != nil:
 			n.noteEnd(p, "caller left", 0, result.reason)
-			n.abort(p)
+			abortConnection()
 			return
 		case result.shed:
 			shed++
@@ -139,7 +139,7 @@
 func (n *Node) endUnsent(r *http.Request, w http.ResponseWriter, p *progress, refused *refusal) {
 	if r.Context().Err() != nil {
 		n.noteEnd(p, "caller left", 0, refused.reason)
-		n.abort(p)
+		abortConnection()
 		return
 	}
 	if p.runs > 0 && (refused.status == http.StatusServiceUnavailable || refused.status == http.StatusTooManyRequests) {
@@ -154,15 +154,15 @@
 func (n *Node) fail(w http.ResponseWriter, p *progress, failed *refusal) {
 	if p.committed {
 		n.noteEnd(p, "cut", 0, failed.reason)
-		n.abort(p)
+		abortConnection()
 		return
 	}
 	n.refuse(w, p, failed)
 }
 
-// abort closes the caller's connection, so that an incomplete answer never
-// looks complete.
-func (n *Node) abort(*progress) { panic(http.ErrAbortHandler) }
+// abortConnection closes the caller's connection, so that an incomplete answer
+// never looks complete. It does not return.
+func abortConnection() { panic(http.ErrAbortHandler) }
 
 // refuse answers a request with a status of this VM's own.
 func (n *Node) refuse(w http.ResponseWriter, p *progress, refused *refusal) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -24,6 +23,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/retrybudget"
 	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/directory"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/mirror"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/peers"
@@ -134,7 +134,7 @@
 		balancer:  balance.New(balance.DefaultConfig(settings.DataCentre)),
 		budgets:   make(map[string]*retrybudget.Budget),
 		residents: newResidents(),
-		copies:    &pacer{last: make(map[adapterKey]demandCount), pause: copyPause, need: copyDemand},
+		copies:    &pacer{last: make(map[serving.AdapterKey]demandCount), pause: copyPause, need: copyDemand},
 		pace:      newPace(),
 		calling:   inFlight{open: make(map[ids.VMID]int)},
 		nudge:     make(chan struct{}, 1),
@@ -350,7 +350,3 @@
 	b.SetReserve(reserve)
 	return b
 }
-
-func (n *Node) random(below int) int { return rand.IntN(below) }
-
-func (n *Node) now() time.Time { return time.Now() }
--- a/pkg/node/notes.go
+++ b/pkg/node/notes.go
@@ -10,11 +10,8 @@
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
-	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 )
 
-type adapterKey = serving.AdapterKey
-
 // metrics are the counters and histograms of a VM.
 type metrics struct {
 	root *observability.Metrics
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/endpoints"
 )
@@ -122,7 +123,7 @@
 	}
 }
 
-func (t *sendTrack) end(outcome outcome, reason string) {
+func (t *sendTrack) end(outcome balance.Outcome, reason string) {
 	t.node.balanceMu.Lock()
 	ejected := t.node.balancer.End(time.Now(), t.endpoint.ID, t.begun, outcome)
 	t.node.balanceMu.Unlock()
--- a/pkg/node/stream.go
+++ b/pkg/node/stream.go
@@ -6,12 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
-
-	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
 )
 
-type outcome = balance.Outcome
-
 // streamBuffer is the size of a read from a stream: many events of some tens
 // of bytes.
 const streamBuffer = 16 << 10
@@ -61,7 +57,7 @@
 		}
 		w.WriteHeader(response.StatusCode)
 		p.committed = true
-		p.firstByte = n.now()
+		p.firstByte = time.Now()
 	}
 	_, err := w.Write(ready)
 	return err
