Divide the allowed loads of base models over the owners

A test written for the rule's table failed: with a reserve of two loads each and the full rate divided, the owners of four data centres could start 24 loads in 5 s where the operators allow 21 (3.4 a second, a tenth above, and three). Each owner now has one load in reserve and the rate that is left of its part.

--- a/pkg/node/adapters_test.go
+++ b/pkg/node/adapters_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
+	"github.com/wagtailspoke/wagtailspoke/pkg/state/directory"
 )
 
 // Guards against copies that take the weight store's bandwidth from adapters
@@ -63,3 +65,41 @@
 	assert.Equal(t, string(b.take([]byte("\n"))), "id: 2\ndata: b\n\n")
 	assert.Equal(t, b.lastID("0"), "2")
 }
+
+// Guards against loads of base models beyond the weight store's rate when many
+// engines restart empty at once and each data centre has an owner of its own.
+func TestModelLoadsOfAllOwnersStayWithinTheRate(t *testing.T) {
+	const centres, perSecond = 4, 3.4
+	const window = 5 * time.Second
+	config := &serving.Config{Services: map[string]*serving.Service{"lm": {Name: "lm", Engine: &serving.Engine{LoadsPerSecond: perSecond}}}}
+	view := directory.NewView(config, nil, nil)
+	e := &engine{endpoint: &serving.Endpoint{Service: "lm"}}
+	var owners []*owner
+	for range centres {
+		owners = append(owners, newOwner(&Node{settings: Settings{
+			DataCentres: make([]ids.DataCentreID, centres),
+			Bounds:      Bounds{ModelLoadWindow: window, ModelLoadOverrate: 1.1},
+		}}))
+	}
+	start := time.Unix(1000, 0)
+	var loads []time.Time
+	for at := start; at.Before(start.Add(20 * time.Second)); at = at.Add(ownerInterval) {
+		for _, o := range owners {
+			if o.mayLoadModel(at, view, e) {
+				o.loads--
+				loads = append(loads, at)
+			}
+		}
+	}
+	// The operators' bound: a tenth above the rate, and three.
+	bound := int(perSecond*window.Seconds()*1.1 + 3)
+	for i, first := range loads {
+		count := 0
+		for _, at := range loads[i:] {
+			if at.Before(first.Add(window)) {
+				count++
+			}
+		}
+		assert.Assert(t, count <= bound, "%d loads in the window from %v, bound %d", count, first.Sub(start), bound)
+	}
+}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -27,7 +27,9 @@
 	orderTimeout   = 700 * time.Millisecond
 	reportTimeout  = 700 * time.Millisecond
 	// modelLoadReserve is how many model loads one owner may start at once.
-	modelLoadReserve = 2
+	modelLoadReserve = 1.0
+	// modelLoadSlack is what the operators allow beyond the rate in a window.
+	modelLoadSlack = 3.0
 	// ensurePoll is the pause between looks at an adapter that is awaited.
 	ensurePoll = 10 * time.Millisecond
 )
@@ -163,16 +165,21 @@
 }
 
 // mayLoadModel reports whether this owner's part of the weight store's rate
-// allows a load. The rate is divided over the data centres.
+// allows a load. The loads that the operators allow in their window are divided
+// over the data centres; one of them may come at once, the others at the rate
+// that is left.
 func (o *owner) mayLoadModel(now time.Time, view *directory.View, e *engine) bool {
-	rate := modelLoadReserve * 1.0
-	if view.Config != nil {
-		if service := view.Config.Services[e.endpoint.Service]; service != nil && service.Engine != nil && service.Engine.LoadsPerSecond > 0 {
-			rate = service.Engine.LoadsPerSecond / float64(max(len(o.node.settings.DataCentres), 1))
-		}
+	defer func() { o.loadedAt = now }()
+	service := view.Config.Services[e.endpoint.Service]
+	if service == nil || service.Engine == nil || service.Engine.LoadsPerSecond <= 0 {
+		return true
 	}
+	bounds := o.node.settings.Bounds
+	window := max(bounds.ModelLoadWindow, time.Second).Seconds()
+	allowed := service.Engine.LoadsPerSecond*window*max(bounds.ModelLoadOverrate, 1) + modelLoadSlack
+	share := allowed / float64(max(len(o.node.settings.DataCentres), 1))
+	rate := max(share-modelLoadReserve, 0) / window
 	o.loads = min(o.loads+now.Sub(o.loadedAt).Seconds()*rate, modelLoadReserve)
-	o.loadedAt = now
 	return o.loads >= 1
 }
 
