--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -30,11 +30,17 @@
 	return link{a: a, b: b}
 }
 
+// direction is one way of a link.
+type direction struct {
+	from, to Host
+}
+
 // Network knows the hosts and the state of the links between them.
 type Network struct {
 	mu    sync.Mutex
 	hosts map[netip.Addr]Host
-	cut   map[link]bool
+	cut   map[direction]bool
+	delay map[link]time.Duration
 	conns map[*forwarded]bool
 }
 
@@ -42,7 +48,8 @@
 func New() *Network {
 	return &Network{
 		hosts: make(map[netip.Addr]Host),
-		cut:   make(map[link]bool),
+		cut:   make(map[direction]bool),
+		delay: make(map[link]time.Duration),
 		conns: make(map[*forwarded]bool),
 	}
 }
@@ -57,34 +64,66 @@
 // Cut drops everything between two hosts, on open and on new connections.
 // Neither end sees its connection close, as with lost packets.
 func (n *Network) Cut(a, b Host) {
+	n.CutOneWay(a, b)
+	n.CutOneWay(b, a)
+}
+
+// CutOneWay drops everything that one host sends to another.
+func (n *Network) CutOneWay(from, to Host) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut[between(a, b)] = true
+	n.cut[direction{from, to}] = true
 }
 
-// Heal ends a cut. Connections that lost bytes stay silent; new ones work.
+// Heal ends the cuts and the delay between two hosts. Connections that lost
+// bytes stay silent; new ones work.
 func (n *Network) Heal(a, b Host) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.cut, between(a, b))
+	delete(n.cut, direction{a, b})
+	delete(n.cut, direction{b, a})
+	delete(n.delay, between(a, b))
 }
 
-// Silence makes all connections that are open between two hosts silent for
-// good, while new ones work.
-func (n *Network) Silence(a, b Host) {
+// Delay holds everything between two hosts back for a time in each direction.
+func (n *Network) Delay(a, b Host, each time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay[between(a, b)] = each
+}
+
+// Reset resets all connections that are open between two hosts.
+func (n *Network) Reset(a, b Host) {
+	for _, conn := range n.open(between(a, b)) {
+		conn.reset()
+	}
+}
+
+func (n *Network) open(pair link) []*forwarded {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	var open []*forwarded
 	for conn := range n.conns {
-		if conn.link == between(a, b) {
-			conn.silence()
+		if conn.link == pair {
+			open = append(open, conn)
 		}
 	}
+	return open
 }
 
-func (n *Network) isCut(pair link) bool {
+// Silence makes all connections that are open between two hosts silent for
+// good, while new ones work.
+func (n *Network) Silence(a, b Host) {
+	for _, conn := range n.open(between(a, b)) {
+		conn.silence()
+	}
+}
+
+// state returns whether a direction is cut and how long it holds bytes back.
+func (n *Network) state(way direction) (bool, time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[pair]
+	return n.cut[way], n.delay[between(way.from, way.to)]
 }
 
 func (n *Network) hostOf(address net.Addr) Host {
@@ -121,14 +160,18 @@
 const dialTimeout = time.Second
 
 func (n *Network) serve(ctx context.Context, near net.Conn, to Host, target string) {
-	conn := &forwarded{network: n, link: between(n.hostOf(near.RemoteAddr()), to), near: near, stop: make(chan struct{})}
+	there := direction{n.hostOf(near.RemoteAddr()), to}
+	back := direction{there.to, there.from}
+	conn := &forwarded{network: n, link: between(there.from, there.to), near: near, stop: make(chan struct{})}
 	n.mu.Lock()
 	n.conns[conn] = true
 	n.mu.Unlock()
 	defer conn.close()
 	stop := context.AfterFunc(ctx, conn.close)
 	defer stop()
-	if n.isCut(conn.link) {
+	cut, _ := n.state(there)
+	if cutBack, _ := n.state(back); cut || cutBack {
+		// The handshake needs both ways.
 		conn.silence()
 		_, _ = io.Copy(io.Discard, near)
 		return
@@ -139,8 +182,8 @@
 		return
 	}
 	conn.setFar(far)
-	go conn.copy(near, far)
-	conn.copy(far, near)
+	go conn.copy(near, far, back)
+	conn.copy(far, near, there)
 }
 
 // forwarded is one forwarded connection.
@@ -179,12 +222,16 @@
 
 // copy forwards one direction. Once bytes were lost, the connection stays
 // silent, because a stream with a gap is no longer valid.
-func (f *forwarded) copy(to, from net.Conn) {
+func (f *forwarded) copy(to, from net.Conn, way direction) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		count, err := from.Read(buffer)
-		if count > 0 && f.network.isCut(f.link) {
-			f.silence()
+		if count > 0 {
+			cut, delay := f.network.state(way)
+			time.Sleep(delay)
+			if cut {
+				f.silence()
+			}
 		}
 		if count > 0 && !f.isSilent() {
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
@@ -198,6 +245,19 @@
 	}
 }
 
+// reset ends the connection with a reset at both ends.
+func (f *forwarded) reset() {
+	f.mu.Lock()
+	for _, conn := range []net.Conn{f.near, f.far} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			// Closing without lingering discards what is unsent and resets.
+			_ = tcp.SetLinger(0)
+		}
+	}
+	f.mu.Unlock()
+	f.close()
+}
+
 // end closes both ends, unless the connection is silent: then the other end
 // must not learn that it is over.
 func (f *forwarded) end() {
--- a/pkg/coordination/authority/authority.go
+++ b/pkg/coordination/authority/authority.go
@@ -20,6 +20,8 @@
 type Config struct {
 	Self       ids.VMID
 	DataCentre ids.DataCentreID
+	// Size is this VM's processor share in cores.
+	Size float64
 	// Unique is the low part of this VM's tokens, below 1<<24.
 	Unique uint64
 	// Lease is the time after the last order of a holder that went silent
@@ -38,6 +40,13 @@
 	Fence      ids.Fence        `json:"fence"`
 }
 
+// Holding is all claims of one VM, as a relay passes them on.
+type Holding struct {
+	Holder ids.VMID   `json:"vm"`
+	Boot   ids.BootID `json:"boot"`
+	Claims []Claim    `json:"claims"`
+}
+
 // Candidate is a VM that may hold claims.
 type Candidate struct {
 	ID         ids.VMID
@@ -45,6 +54,8 @@
 	Boot       ids.BootID
 	Started    time.Time
 	Leaving    bool
+	// Size is the VM's processor share in cores. Larger VMs go first.
+	Size float64
 }
 
 // heard is the last claim of one VM on a data centre.
@@ -108,6 +119,48 @@
 	}
 }
 
+// Holdings returns the claims of all other VMs that are not known to have ended.
+func (a *Authority) Holdings() []Holding {
+	byHolder := make(map[ids.VMID]*Holding)
+	for dc, claims := range a.others {
+		for holder, known := range claims {
+			if known.released {
+				continue
+			}
+			if byHolder[holder] == nil {
+				byHolder[holder] = &Holding{Holder: holder, Boot: known.boot}
+			}
+			byHolder[holder].Claims = append(byHolder[holder].Claims, Claim{DataCentre: dc, Fence: known.fence})
+		}
+	}
+	holdings := make([]Holding, 0, len(byHolder))
+	for _, holding := range byHolder {
+		sort.Slice(holding.Claims, func(i, j int) bool { return holding.Claims[i].DataCentre < holding.Claims[j].DataCentre })
+		holdings = append(holdings, *holding)
+	}
+	sort.Slice(holdings, func(i, j int) bool { return holdings[i].Holder < holdings[j].Holder })
+	return holdings
+}
+
+// HearRelayed takes a relay's word for the claims of all other VMs but the
+// relay. Claims that the relay no longer names are released. The word is late
+// by the relay's own exchanges, which only lengthens the wait for a lease.
+func (a *Authority) HearRelayed(now time.Time, relay ids.VMID, holdings []Holding) {
+	named := map[ids.VMID]bool{relay: true, a.config.Self: true}
+	for _, holding := range holdings {
+		if named[holding.Holder] {
+			continue
+		}
+		named[holding.Holder] = true
+		a.Hear(now, holding.Holder, holding.Boot, holding.Claims)
+	}
+	for _, known := range a.Holdings() {
+		if !named[known.Holder] {
+			a.Hear(now, known.Holder, known.Boot, nil)
+		}
+	}
+}
+
 // Suspend stops all orders for a while, since the process stood still and
 // another VM may have taken over meanwhile.
 func (a *Authority) Suspend(now time.Time) { a.quietUntil = now.Add(a.config.Confirm) }
@@ -216,28 +269,30 @@
 }
 
 // first returns the VM that should claim a data centre that nobody holds: the
-// first by id of its own VMs, otherwise the first by a hash of all.
+// largest of its own VMs, by id where they are equal, otherwise the first by a
+// hash of all.
 func (a *Authority) first(dc ids.DataCentreID, alive []Candidate, now time.Time) ids.VMID {
-	var own, others ids.VMID
+	var own *Candidate
+	var other ids.VMID
 	var best uint64
-	consider := func(id ids.VMID, home ids.DataCentreID) {
-		if home == dc && (own == "" || id < own) {
-			own = id
+	consider := func(c Candidate) {
+		if c.DataCentre == dc && (own == nil || c.Size > own.Size || c.Size == own.Size && c.ID < own.ID) {
+			own = &c
 		}
-		if weight := rank(dc, id); others == "" || weight > best {
-			others, best = id, weight
+		if weight := rank(dc, c.ID); other == "" || weight > best {
+			other, best = c.ID, weight
 		}
 	}
-	consider(a.config.Self, a.config.DataCentre)
+	consider(Candidate{ID: a.config.Self, DataCentre: a.config.DataCentre, Size: a.config.Size})
 	for _, c := range alive {
 		if !c.Leaving {
-			consider(c.ID, c.DataCentre)
+			consider(c)
 		}
 	}
-	if own != "" {
-		return own
+	if own != nil {
+		return own.ID
 	}
-	return others
+	return other
 }
 
 // free reports whether no other VM can still order the data centre.
--- a/pkg/coordination/balance/balance.go
+++ b/pkg/coordination/balance/balance.go
@@ -26,6 +26,11 @@
 	EjectBase, EjectMax time.Duration
 	// FailureStreak is the number of failures in a row that eject an endpoint.
 	FailureStreak int
+	// SharedHalfLife is that of the outcomes that VMs tell each other.
+	SharedHalfLife time.Duration
+	// SharedFailures is the recent failures at all VMs from which an endpoint
+	// that fails a large share gets no requests of any VM.
+	SharedFailures float64
 	// PauseWeight is the load that an engine counts as carrying more if all
 	// its streams pause for longer than their objective.
 	PauseWeight float64
@@ -34,6 +39,9 @@
 	PauseMax float64
 	// PauseHalfLife is that of the counts of streams and late pauses.
 	PauseHalfLife time.Duration
+	// Jitter is the load by which endpoints count as equal, so that VMs which
+	// learn of each other's requests late do not all choose the same one.
+	Jitter float64
 	// PeerLoadAge is how long a peer's load report counts.
 	PeerLoadAge time.Duration
 }
@@ -42,16 +50,18 @@
 // times what a running stream costs.
 func DefaultConfig(dc ids.DataCentreID) Config {
 	return Config{
-		DataCentre:    dc,
-		Distance:      0.5,
-		RunningWeight: 0.15,
-		EjectBase:     400 * time.Millisecond,
-		EjectMax:      4 * time.Second,
-		FailureStreak: 2,
-		PauseWeight:   24,
-		PauseMax:      8,
-		PauseHalfLife: 10 * time.Second,
-		PeerLoadAge:   1500 * time.Millisecond,
+		DataCentre:     dc,
+		Distance:       0.5,
+		RunningWeight:  0.15,
+		EjectBase:      400 * time.Millisecond,
+		EjectMax:       4 * time.Second,
+		FailureStreak:  2,
+		SharedHalfLife: 2 * time.Second,
+		SharedFailures: 2,
+		PauseWeight:    24,
+		PauseMax:       8,
+		PauseHalfLife:  10 * time.Second,
+		PeerLoadAge:    1500 * time.Millisecond,
 	}
 }
 
@@ -82,6 +92,9 @@
 	Failed
 	// Abandoned requests were ended by this side.
 	Abandoned
+	// Unreachable requests were not sent, as nothing listens at the endpoint's
+	// address or no path leads there.
+	Unreachable
 )
 
 type state struct {
@@ -95,12 +108,27 @@
 	trial    bool
 	pauses   Pauses
 	pausesAt time.Time
+	// outcomes are those at this VM of late.
+	outcomes   Outcomes
+	outcomesAt time.Time
+}
+
+// Outcomes are decaying counts of requests that ended at an endpoint.
+type Outcomes struct {
+	Served float64 `json:"s"`
+	Failed float64 `json:"f"`
+}
+
+func (o Outcomes) plus(more Outcomes) Outcomes {
+	return Outcomes{o.Served + more.Served, o.Failed + more.Failed}
 }
 
 type peerLoads struct {
-	at     time.Time
-	loads  map[ids.EndpointID]Load
-	pauses map[ids.EndpointID]Pauses
+	at       time.Time
+	loads    map[ids.EndpointID]Load
+	pauses   map[ids.EndpointID]Pauses
+	pausesAt time.Time
+	outcomes map[ids.EndpointID]Outcomes
 }
 
 // Balancer holds the state of all endpoints as one VM sees it.
@@ -115,6 +143,9 @@
 	return &Balancer{config: config, states: make(map[ids.EndpointID]*state), peers: make(map[ids.VMID]peerLoads)}
 }
 
+// SetJitter changes the load by which endpoints count as equal.
+func (b *Balancer) SetJitter(jitter float64) { b.config.Jitter = jitter }
+
 func (b *Balancer) state(id ids.EndpointID) *state {
 	s := b.states[id]
 	if s == nil {
@@ -124,9 +155,22 @@
 	return s
 }
 
-// Hear takes the loads and pauses that a peer has counted.
-func (b *Balancer) Hear(now time.Time, peer ids.VMID, loads map[ids.EndpointID]Load, pauses map[ids.EndpointID]Pauses) {
-	b.peers[peer] = peerLoads{at: now, loads: loads, pauses: pauses}
+// Told is what a peer has counted.
+type Told struct {
+	Loads map[ids.EndpointID]Load `json:"loads"`
+	// Pauses are left out of most messages; the last ones stay.
+	Pauses map[ids.EndpointID]Pauses `json:"pauses,omitempty"`
+	// Outcomes are those of endpoints that failed requests of late.
+	Outcomes map[ids.EndpointID]Outcomes `json:"outcomes,omitempty"`
+}
+
+// Hear takes what a peer has counted.
+func (b *Balancer) Hear(now time.Time, peer ids.VMID, from Told) {
+	told := peerLoads{at: now, loads: from.Loads, pauses: from.Pauses, pausesAt: now, outcomes: from.Outcomes}
+	if from.Pauses == nil {
+		told.pauses, told.pausesAt = b.peers[peer].pauses, b.peers[peer].pausesAt
+	}
+	b.peers[peer] = told
 }
 
 // Paused counts a stream that has ended, and whether it paused for too long.
@@ -146,18 +190,35 @@
 	s.pausesAt = now
 }
 
-// OwnPauses returns what this VM has counted.
-func (b *Balancer) OwnPauses(now time.Time) map[ids.EndpointID]Pauses {
+// Pauses returns what this VM and the peers that are asked for have counted.
+func (b *Balancer) Pauses(now time.Time, with func(ids.VMID) bool) map[ids.EndpointID]Pauses {
 	pauses := make(map[ids.EndpointID]Pauses)
 	for id, s := range b.states {
 		s.fade(now, b.config.PauseHalfLife)
-		if s.pauses.Streams >= pausesWorthTelling {
-			pauses[id] = s.pauses
+		pauses[id] = s.pauses
+	}
+	for peer, told := range b.peers {
+		if now.Sub(told.pausesAt) > b.config.PauseHalfLife || !with(peer) {
+			continue
+		}
+		for id, more := range told.pauses {
+			sum := pauses[id]
+			pauses[id] = Pauses{Streams: sum.Streams + more.Streams, Late: sum.Late + more.Late}
+		}
+	}
+	for id, sum := range pauses {
+		if sum.Streams < pausesWorthTelling {
+			delete(pauses, id)
+			continue
 		}
+		pauses[id] = Pauses{Streams: round(sum.Streams), Late: round(sum.Late)}
 	}
 	return pauses
 }
 
+// round keeps two decimals, so that messages stay short.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
+
 // pausesWorthTelling keeps counts that have faded out of the messages.
 const pausesWorthTelling = 0.2
 
@@ -166,30 +227,108 @@
 const pausePrior = 4.0
 
 // pauseRisk is the share of an engine's streams that paused for too long.
-func (b *Balancer) pauseRisk(id ids.EndpointID) float64 {
+func (b *Balancer) pauseRisk(now time.Time, id ids.EndpointID) float64 {
 	total := Pauses{Streams: pausePrior}
 	if s := b.states[id]; s != nil {
 		total.Streams += s.pauses.Streams
 		total.Late += s.pauses.Late
 	}
 	for _, peer := range b.peers {
-		total.Streams += peer.pauses[id].Streams
-		total.Late += peer.pauses[id].Late
+		if now.Sub(peer.pausesAt) <= b.config.PauseHalfLife {
+			total.Streams += peer.pauses[id].Streams
+			total.Late += peer.pauses[id].Late
+		}
 	}
 	return total.Late / total.Streams
 }
 
-// Own returns the loads of this VM.
-func (b *Balancer) Own() map[ids.EndpointID]Load {
+// Loads returns the loads of this VM and of the peers that are asked for.
+func (b *Balancer) Loads(now time.Time, with func(ids.VMID) bool) map[ids.EndpointID]Load {
 	loads := make(map[ids.EndpointID]Load)
 	for id, s := range b.states {
 		if s.load != (Load{}) {
 			loads[id] = s.load
 		}
 	}
+	for peer, told := range b.peers {
+		if now.Sub(told.at) > b.config.PeerLoadAge || !with(peer) {
+			continue
+		}
+		for id, more := range told.loads {
+			sum := loads[id]
+			loads[id] = Load{Starting: sum.Starting + more.Starting, Running: sum.Running + more.Running}
+		}
+	}
 	return loads
 }
 
+// Outcomes returns the recent outcomes at this VM and the peers that are asked
+// for, of endpoints that failed requests.
+func (b *Balancer) Outcomes(now time.Time, with func(ids.VMID) bool) map[ids.EndpointID]Outcomes {
+	sums := make(map[ids.EndpointID]Outcomes)
+	for id, s := range b.states {
+		sums[id] = s.recent(now, b.config.SharedHalfLife)
+	}
+	for peer, told := range b.peers {
+		if now.Sub(told.at) > b.config.PeerLoadAge || !with(peer) {
+			continue
+		}
+		for id, more := range told.outcomes {
+			sums[id] = sums[id].plus(more)
+		}
+	}
+	for id, sum := range sums {
+		if sum.Failed < failuresWorthTelling {
+			delete(sums, id)
+			continue
+		}
+		sums[id] = Outcomes{Served: round(sum.Served), Failed: round(sum.Failed)}
+	}
+	return sums
+}
+
+// failuresWorthTelling keeps counts that have faded out of the messages.
+const failuresWorthTelling = 0.2
+
+// recent returns the outcomes at this VM as they have faded by now.
+func (s *state) recent(now time.Time, halfLife time.Duration) Outcomes {
+	keep := math.Exp2(-now.Sub(s.outcomesAt).Seconds() / halfLife.Seconds())
+	return Outcomes{Served: s.outcomes.Served * keep, Failed: s.outcomes.Failed * keep}
+}
+
+// record adds an outcome.
+func (s *state) record(now time.Time, halfLife time.Duration, more Outcomes) {
+	s.outcomes, s.outcomesAt = s.recent(now, halfLife).plus(more), now
+}
+
+// failsElsewhere reports whether the VMs together saw an endpoint fail a large
+// share of its requests. One VM of many sends too few to tell by itself.
+func (b *Balancer) failsElsewhere(now time.Time, id ids.EndpointID) bool {
+	var sum Outcomes
+	for _, peer := range b.peers {
+		if now.Sub(peer.at) <= b.config.PeerLoadAge {
+			sum = sum.plus(peer.outcomes[id])
+		}
+	}
+	if sum.Failed == 0 {
+		return false
+	}
+	if s := b.states[id]; s != nil {
+		sum = sum.plus(s.recent(now, b.config.SharedHalfLife))
+	}
+	return sum.Failed >= b.config.SharedFailures && sum.Failed > failureShare*(sum.Failed+sum.Served)
+}
+
+// Restarted forgets what is known of an endpoint whose process is new.
+func (b *Balancer) Restarted(id ids.EndpointID) {
+	if s := b.states[id]; s != nil {
+		b.states[id] = &state{load: s.load}
+	}
+	for _, peer := range b.peers {
+		delete(peer.outcomes, id)
+	}
+}
+
 // Keep forgets endpoints that are gone and carry no load.
 func (b *Balancer) Keep(known map[ids.EndpointID]*serving.Endpoint) {
 	for id, s := range b.states {
@@ -218,11 +357,14 @@
 // Weight returns the load of an endpoint as one number.
 func (b *Balancer) Weight(now time.Time, id ids.EndpointID) float64 {
 	total := b.Total(now, id)
-	return float64(total.Starting) + b.config.RunningWeight*float64(total.Running) + min(b.config.PauseWeight*b.pauseRisk(id), b.config.PauseMax)
+	return float64(total.Starting) + b.config.RunningWeight*float64(total.Running) + min(b.config.PauseWeight*b.pauseRisk(now, id), b.config.PauseMax)
 }
 
 // Available reports whether an endpoint may get a request now.
 func (b *Balancer) Available(now time.Time, id ids.EndpointID) bool {
+	if b.failsElsewhere(now, id) {
+		return false
+	}
 	s := b.states[id]
 	if s == nil || s.until.IsZero() {
 		return true
@@ -242,6 +384,9 @@
 			score += b.config.Distance
 		}
 		score += float64((salt+uint64(i)*spread)%tieSteps) * tieWeight
+		if b.config.Jitter > 0 {
+			score += b.config.Jitter * fraction(salt, e.ID)
+		}
 		if b.Available(now, e.ID) {
 			if best == nil || score < bestScore {
 				best, bestScore = e, score
@@ -264,6 +409,13 @@
 	tieWeight = 0.001
 )
 
+// fraction returns a number from 0 to below 1 for a salt and an endpoint.
+func fraction(salt uint64, id ids.EndpointID) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return float64(mix(h.Sum64()^salt)>>11) / (1 << 53)
+}
+
 // Begin counts a request that is about to be sent.
 func (b *Balancer) Begin(now time.Time, id ids.EndpointID) {
 	s := b.state(id)
@@ -291,10 +443,16 @@
 	}
 	s.trial = false
 	switch outcome {
+	case Unreachable:
+		s.record(now, b.config.SharedHalfLife, Outcomes{Failed: b.config.SharedFailures})
+		b.eject(now, s)
+		return true
 	case Served:
+		s.record(now, b.config.SharedHalfLife, Outcomes{Served: 1})
 		s.streak, s.backoff, s.until = 0, 0, time.Time{}
 		s.failures *= failureKeep
 	case Failed:
+		s.record(now, b.config.SharedHalfLife, Outcomes{Failed: 1})
 		s.streak++
 		s.failures = s.failures*failureKeep + 1 - failureKeep
 		if s.streak >= b.config.FailureStreak || s.failures > failureShare {
--- a/pkg/coordination/balance/balance_test.go
+++ b/pkg/coordination/balance/balance_test.go
@@ -26,7 +26,7 @@
 func TestLoadOfOtherVMsCounts(t *testing.T) {
 	b := balance.New(balance.DefaultConfig("dc"))
 	list := endpoints("a", "b")
-	b.Hear(start, "peer", map[ids.EndpointID]balance.Load{"a": {Starting: 5}}, nil)
+	b.Hear(start, "peer", balance.Told{Loads: map[ids.EndpointID]balance.Load{"a": {Starting: 5}}})
 	assert.Equal(t, b.Pick(start, list, 1).ID, ids.EndpointID("b"))
 	for range 8 {
 		b.Begin(start, "b")
@@ -79,7 +79,7 @@
 	}
 	assert.Equal(t, b.Pick(start, endpoints("a", "b"), 0).ID, ids.EndpointID("b"))
 	c := balance.New(balance.DefaultConfig("dc"))
-	c.Hear(start, "peer", nil, b.OwnPauses(start))
+	c.Hear(start, "peer", balance.Told{Pauses: b.Pauses(start, func(ids.VMID) bool { return false })})
 	assert.Equal(t, c.Pick(start, endpoints("a", "b"), 0).ID, ids.EndpointID("b"))
 }
 
@@ -110,3 +110,48 @@
 	}
 	assert.DeepEqual(t, before, kept)
 }
+
+// Guards against a large fleet whose VMs all send to the engine that was the
+// least loaded half a second ago.
+func TestLateLoadsAreSpread(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	b.SetJitter(1.5)
+	list := endpoints("a", "b", "c", "d")
+	b.Hear(start, "peer", balance.Told{Loads: map[ids.EndpointID]balance.Load{"b": {Starting: 1}, "c": {Starting: 1}, "d": {Starting: 4}}})
+	picked := make(map[ids.EndpointID]int)
+	for salt := range uint64(1000) {
+		picked[b.Pick(start, list, salt).ID]++
+	}
+	assert.Assert(t, picked["a"] < 950 && picked["b"] > 10 && picked["c"] > 10, "picked %v", picked)
+	assert.Equal(t, picked["d"], 0)
+}
+
+// Guards against a large fleet each of whose VMs has to fail at a crashed
+// endpoint by itself, and against a healthy endpoint that is set aside since
+// one VM does not reach it.
+func TestFailuresAtOtherVMsCount(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	list := endpoints("a", "b")
+	b.Hear(start, "peer", balance.Told{Outcomes: map[ids.EndpointID]balance.Outcomes{"a": {Failed: 3, Served: 1}, "b": {Failed: 2, Served: 20}}})
+	assert.Assert(t, !b.Available(start, "a"))
+	assert.Assert(t, b.Available(start, "b"))
+	for salt := range uint64(16) {
+		assert.Equal(t, b.Pick(start, list, salt).ID, ids.EndpointID("b"))
+	}
+	b.Restarted("a")
+	assert.Assert(t, b.Available(start, "a"), "a new process is judged by the last one")
+}
+
+// Guards against requests that go on to an address at which nothing listens.
+func TestUnreachableEndpointIsSetAsideAtOnce(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	b.Begin(start, "a")
+	assert.Assert(t, b.End(start, "a", false, balance.Unreachable))
+	assert.Assert(t, !b.Available(start, "a"))
+	peer := balance.New(balance.DefaultConfig("dc"))
+	peer.Hear(start, "vm", balance.Told{Outcomes: b.Outcomes(start, func(ids.VMID) bool { return false })})
+	assert.Assert(t, !peer.Available(start, "a"))
+	later := start.Add(2 * time.Second)
+	peer.Hear(later, "vm", balance.Told{Outcomes: b.Outcomes(later, func(ids.VMID) bool { return false })})
+	assert.Assert(t, peer.Available(later, "a"), "an endpoint is never tried again")
+}
--- a/pkg/coordination/caps/caps_test.go
+++ b/pkg/coordination/caps/caps_test.go
@@ -67,7 +67,7 @@
 			at = rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
 		}
 		cost := rapid.Int64Range(200, 2400).Draw(t, "cost")
-		if ok, _ := vms[at].caps.Admit(now, customer, limit, caps.Demand{Cost: cost, Generation: true, Urgency: 1}); ok {
+		if ok, _ := vms[at].caps.Admit(now, customer, limit, caps.Demand{Cost: cost, Generation: true, Urgency: 1, Draw: rapid.Float64Range(0, 0.999).Draw(t, "draw")}); ok {
 			admitted += cost
 		}
 	}
@@ -85,7 +85,7 @@
 				continue
 			}
 			alive++
-			a.caps.Hear(now, b.id, b.boot, now.Sub(b.up), b.caps.Own())
+			a.caps.Hear(now, b.id, caps.Report{Boot: b.boot, Uptime: now.Sub(b.up), Totals: b.caps.Told()})
 		}
 		a.caps.SetSides(alive, len(vms)-alive)
 	}
@@ -166,9 +166,9 @@
 	c := caps.New(true)
 	ok, _ := c.Admit(start, customer, limit, demand)
 	assert.Assert(t, ok)
-	c.Hear(start, "peer", "1", time.Minute, caps.Totals{customer: 100})
+	c.Hear(start, "peer", caps.Report{Boot: "1", Uptime: time.Minute, Totals: caps.Totals{customer: {Admitted: 100}}})
 	healed := start.Add(5 * time.Second)
-	c.Hear(healed, "peer", "1", time.Minute, caps.Totals{customer: 100 + 5*500})
+	c.Hear(healed, "peer", caps.Report{Boot: "1", Uptime: time.Minute, Totals: caps.Totals{customer: {Admitted: 100 + 5*500}}})
 	ok, _ = c.Admit(healed.Add(time.Second), customer, limit, demand)
 	assert.Assert(t, ok)
 }
--- a/pkg/coordination/fleet/fleet_test.go
+++ b/pkg/coordination/fleet/fleet_test.go
@@ -13,19 +13,25 @@
 var start = time.Unix(1000, 0)
 
 func announce(id ids.VMID, boot ids.BootID) fleet.Announcement {
-	return fleet.Announcement{ID: id, DataCentre: "dc", Boot: boot, UptimeMs: 500}
+	return fleet.Announcement{ID: id, DataCentre: "dc", Boot: boot, UptimeMs: 500, Relay: true}
+}
+
+func newFleet(seeds ...ids.VMID) *fleet.Fleet {
+	return fleet.New(fleet.DefaultConfig(), start, fleet.Announcement{ID: "self", DataCentre: "dc", Boot: "1"}, seeds)
 }
 
 // Guards against VMs that never meet because only a seed knows them, or
 // because all seeds are down when the VM starts.
 func TestMembersAreFoundThroughOneSeed(t *testing.T) {
-	f := fleet.New(fleet.DefaultConfig(), "self", []ids.VMID{"seed", "self"})
+	f := newFleet("seed", "self")
 	assert.DeepEqual(t, f.Targets(start), []ids.VMID{"seed"})
 	assert.Equal(t, len(f.Targets(start.Add(10*time.Millisecond))), 0)
 	later := start.Add(2 * time.Minute)
 	assert.DeepEqual(t, f.Targets(later), []ids.VMID{"seed"})
 	assert.Assert(t, f.Hear(later, announce("seed", "1")))
-	f.Learn(later, []ids.VMID{"other", "self"})
+	f.HearRoster(later, announce("seed", "1"), fleet.Roster{Version: 1, Entries: []fleet.RosterEntry{
+		{Announcement: announce("other", "1")}, {Announcement: announce("self", "1")},
+	}}, 0)
 	assert.Equal(t, len(f.Alive(later)), 1)
 	assert.DeepEqual(t, f.Targets(later.Add(time.Second)), []ids.VMID{"other", "seed"})
 	f.Hear(later, announce("other", "1"))
@@ -35,7 +41,7 @@
 // Guards against a silent VM that is taken for stopped, and a stopped one that
 // is waited for as if it were cut off.
 func TestSilentAndLeavingMembers(t *testing.T) {
-	f := fleet.New(fleet.DefaultConfig(), "self", nil)
+	f := newFleet()
 	f.Hear(start, announce("a", "1"))
 	leaving := announce("b", "1")
 	leaving.Leaving = true
--- /dev/null
+++ b/pkg/coordination/fleet/relays_test.go
@@ -0,0 +1,219 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wagtailspoke/wagtailspoke/internal/rapidtest"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fleet"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 47, 30) }
+
+const round = 250 * time.Millisecond
+
+// simVM is one VM of a simulated fleet.
+type simVM struct {
+	self  fleet.Announcement
+	fleet *fleet.Fleet
+	down  bool
+}
+
+// simulation is a fleet whose calls take no time.
+type simulation struct {
+	vms   []*simVM
+	byID  map[ids.VMID]*simVM
+	seeds []ids.VMID
+	now   time.Time
+	// cut is a data centre that reaches no other.
+	cut   ids.DataCentreID
+	calls int
+}
+
+func newSimulation(centres, perCentre int) *simulation {
+	s := &simulation{byID: make(map[ids.VMID]*simVM), now: start}
+	for i := range centres * perCentre {
+		id := ids.VMID(fmt.Sprintf("vm-%03d", i))
+		size := 0.2
+		if i/centres%8 == 0 {
+			size = 0.8
+		}
+		vm := &simVM{self: fleet.Announcement{ID: id, DataCentre: ids.DataCentreID(fmt.Sprintf("dc-%d", i%centres)), Size: size}}
+		s.vms = append(s.vms, vm)
+		s.byID[id] = vm
+	}
+	for i := range 3 {
+		s.seeds = append(s.seeds, s.vms[i*len(s.vms)/3].self.ID)
+	}
+	for _, vm := range s.vms {
+		s.start(vm)
+	}
+	return s
+}
+
+func (s *simulation) start(vm *simVM) {
+	vm.down = false
+	vm.self.Boot = ids.BootID(fmt.Sprint(s.now.UnixNano()))
+	vm.fleet = fleet.New(fleet.DefaultConfig(), s.now, vm.self, s.seeds)
+}
+
+func (s *simulation) reaches(a, b *simVM) bool {
+	return !a.down && !b.down && (a.self.DataCentre == b.self.DataCentre || a.self.DataCentre != s.cut && b.self.DataCentre != s.cut)
+}
+
+// run plays rounds of exchanges. The VMs take turns within a round.
+func (s *simulation) run(rounds int) {
+	for range rounds {
+		s.calls = 0
+		for i, vm := range s.vms {
+			now := s.now.Add(time.Duration(i) * round / time.Duration(len(s.vms)))
+			if vm.down {
+				continue
+			}
+			for _, target := range vm.fleet.Targets(now) {
+				s.calls++
+				if other := s.byID[target]; s.reaches(vm, other) {
+					exchange(now, vm, other)
+				}
+			}
+		}
+		s.now = s.now.Add(round)
+	}
+}
+
+func exchange(now time.Time, caller, callee *simVM) {
+	tell := func(from, to *simVM) {
+		self := from.fleet.Self(now)
+		roster, seen := from.fleet.Roster(now, to.self.ID), from.fleet.RosterSeen(to.self.ID)
+		to.fleet.Hear(now, self)
+		to.fleet.HearRoster(now, self, roster, seen)
+	}
+	tell(caller, callee)
+	tell(callee, caller)
+}
+
+// views returns the fewest members that any running VM takes for alive, and
+// the most that any takes for silent.
+func (s *simulation) views(keep func(*simVM) bool) (alive, silent int) {
+	alive = len(s.vms)
+	for _, vm := range s.vms {
+		if vm.down || !keep(vm) {
+			continue
+		}
+		alive = min(alive, len(vm.fleet.Alive(s.now)))
+		silent = max(silent, len(vm.fleet.Silent(s.now)))
+	}
+	return alive, silent
+}
+
+func everyone(*simVM) bool { return true }
+
+// Guards against a fleet whose exchanges grow with the square of its size, and
+// against VMs that do not find each other when all start at once.
+func TestLargeFleetMeetsWithFewCalls(t *testing.T) {
+	s := newSimulation(4, 17)
+	s.run(16)
+	alive, silent := s.views(everyone)
+	assert.Equal(t, alive, 67)
+	assert.Equal(t, silent, 0)
+	relays := 0
+	for _, vm := range s.vms {
+		if vm.fleet.Plan(s.now).Relay {
+			relays++
+		}
+	}
+	assert.Equal(t, relays, 8)
+	s.run(1)
+	assert.Assert(t, s.calls <= 60+8*7, "%d calls in a round", s.calls)
+}
+
+// Guards against a change of behaviour at the sizes at which all VMs exchange.
+func TestSmallFleetIsAMesh(t *testing.T) {
+	s := newSimulation(4, 3)
+	s.run(8)
+	for _, vm := range s.vms {
+		assert.Equal(t, len(vm.fleet.Targets(s.now)), 11)
+	}
+}
+
+// Guards against leaves that take the whole fleet for silent when the relay
+// fails through which they know it.
+func TestLostRelayIsReplaced(t *testing.T) {
+	s := newSimulation(4, 17)
+	s.run(16)
+	for _, vm := range s.vms {
+		if vm.fleet.Plan(s.now).Relay {
+			vm.down = true
+			break
+		}
+	}
+	for range 40 {
+		s.run(1)
+		_, silent := s.views(everyone)
+		assert.Assert(t, silent <= 1, "%d members count as silent after the loss of one", silent)
+	}
+	alive, silent := s.views(everyone)
+	assert.Equal(t, alive, 66)
+	assert.Equal(t, silent, 1)
+}
+
+// Guards against two sides of a healed partition that do not meet again.
+func TestPartitionedDataCentreComesBack(t *testing.T) {
+	s := newSimulation(4, 17)
+	s.run(16)
+	s.cut = "dc-2"
+	s.run(24)
+	inside := func(vm *simVM) bool { return vm.self.DataCentre == s.cut }
+	alive, silent := s.views(inside)
+	assert.Equal(t, alive, 16)
+	assert.Equal(t, silent, 51)
+	s.cut = ""
+	s.run(16)
+	alive, silent = s.views(everyone)
+	assert.Equal(t, alive, 67)
+	assert.Equal(t, silent, 0)
+}
+
+// Guards against orders of restarts, kills and partitions after which VMs do
+// not know each other again.
+func TestFleetConvergesAfterDisturbances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapid.IntRange(1, 5).Draw(t, "centres"), rapid.IntRange(1, 6).Draw(t, "perCentre"))
+		s.run(rapid.IntRange(0, 12).Draw(t, "before"))
+		for range rapid.IntRange(0, 6).Draw(t, "disturbances") {
+			first := rapid.IntRange(0, len(s.vms)-1).Draw(t, "first")
+			count := rapid.IntRange(1, len(s.vms)).Draw(t, "count")
+			for i := range count {
+				vm := s.vms[(first+i)%len(s.vms)]
+				switch {
+				case vm.down:
+					s.start(vm)
+				default:
+					vm.down = true
+				}
+			}
+			if rapid.Bool().Draw(t, "cut") {
+				s.cut = s.vms[first].self.DataCentre
+			} else {
+				s.cut = ""
+			}
+			s.run(rapid.IntRange(1, 20).Draw(t, "rounds"))
+		}
+		s.cut = ""
+		for _, vm := range s.vms {
+			if vm.down {
+				s.start(vm)
+			}
+		}
+		s.run(24)
+		alive, silent := s.views(everyone)
+		if alive != len(s.vms)-1 || silent != 0 {
+			t.Fatalf("%d of %d members alive, %d silent", alive, len(s.vms)-1, silent)
+		}
+	})
+}
--- a/pkg/coordination/residency/table.go
+++ b/pkg/coordination/residency/table.go
@@ -153,10 +153,8 @@
 	uses     map[serving.AdapterKey]*use
 	wants    map[serving.AdapterKey]*Want
 
-	// extra is what loads took beyond the configured time, learned at a moment
-	// from engines that were asked too early.
-	extra   time.Duration
-	extraAt time.Time
+	// loads is the estimate of the time of a load.
+	loads *LoadTime
 
 	pending   *Order
 	pendingAt time.Time
@@ -175,10 +173,12 @@
 	version uint64
 }
 
-// NewTable returns the account of an engine of which nothing is known.
-func NewTable(config Config) *Table {
+// NewTable returns the account of an engine of which nothing is known. Engines
+// that load from the same weight store share the estimate of a load's time.
+func NewTable(config Config, loads *LoadTime) *Table {
 	return &Table{
 		config: config,
+		loads:  loads,
 		models: make(map[string]bool),
 		held:   make(map[serving.AdapterKey]*Held),
 		uses:   make(map[serving.AdapterKey]*use),
@@ -236,7 +236,7 @@
 		}
 	}
 	for _, coming := range report.Coming {
-		entry := &Held{Version: coming.Version, Ready: now.Add(t.loadTime(now)), Loading: true, ordered: now}
+		entry := &Held{Version: coming.Version, Ready: now.Add(t.loads.Estimate(now)), Loading: true, ordered: now}
 		if old := before[coming.Key]; old != nil && !restarted && old.Version == coming.Version {
 			entry.Ready, entry.ordered = old.Ready, old.ordered
 		}
@@ -321,6 +321,39 @@
 	return len(t.held), t.capacity(limits)
 }
 
+// HasModel reports whether the engine holds a base model.
+func (t *Table) HasModel(model string) bool { return t.models[model] }
+
+// Models returns the base models that the engine holds.
+func (t *Table) Models() []string {
+	models := make([]string, 0, len(t.models))
+	for model := range t.models {
+		models = append(models, model)
+	}
+	sort.Strings(models)
+	return models
+}
+
+// Room returns how many more adapters the engine can take soon: its free slots
+// and those of adapters without open requests, less the adapters that wait.
+func (t *Table) Room(now time.Time, limits Limits, active func() map[serving.AdapterKey]bool) int {
+	room := t.capacity(limits) - len(t.held) - len(t.wants)
+	if room > 0 {
+		return room
+	}
+	inUse := active()
+	for key, entry := range t.held {
+		if t.evictable(now, key, entry) && !inUse[key] {
+			room++
+		}
+	}
+	return room
+}
+
+func (t *Table) evictable(now time.Time, key serving.AdapterKey, entry *Held) bool {
+	return !entry.Loading && !entry.Leaving && t.wants[key] == nil && now.Sub(entry.Ready) >= t.config.MinResidence
+}
+
 func (t *Table) capacity(limits Limits) int {
 	capacity := limits.AdapterSlots
 	room, adapterMB := limits.WeightsMB, 0.0
@@ -349,7 +382,7 @@
 // Next returns the next order, if one may be given now. Until Finish is
 // called no other order is returned. MayLoadModel tells whether the weight
 // store has room for a load, and active which adapters have open requests.
-func (t *Table) Next(now time.Time, limits Limits, mayLoadModel bool, active map[serving.AdapterKey]bool) (Order, bool) {
+func (t *Table) Next(now time.Time, limits Limits, mayLoadModel bool, active func() map[serving.AdapterKey]bool) (Order, bool) {
 	t.settle(now)
 	if !t.known || t.pending != nil || now.Before(t.pauseUntil) || now.Before(t.modelUntil) || t.modelBusy {
 		return Order{}, false
@@ -378,7 +411,7 @@
 		if len(t.held) < t.capacity(limits) {
 			return t.begin(now, Order{Kind: LoadAdapter, Model: want.Key.Model, Adapter: want.Key.Adapter, Version: want.Version}), true
 		}
-		if victim, found := t.victim(now, active); found {
+		if victim, found := t.victim(now, active()); found {
 			return t.begin(now, Order{Kind: UnloadAdapter, Model: victim.Model, Adapter: victim.Adapter}), true
 		}
 		return Order{}, false
@@ -442,7 +475,7 @@
 	var best serving.AdapterKey
 	found, least := false, 0.0
 	for key, entry := range t.held {
-		if entry.Loading || entry.Leaving || t.wants[key] != nil || now.Sub(entry.Ready) < t.config.MinResidence {
+		if !t.evictable(now, key, entry) {
 			continue
 		}
 		worth := t.worth(now, key)
@@ -489,7 +522,7 @@
 		t.conflicts++
 		if order.Kind == LoadAdapter {
 			// More may be on the way than the estimate says.
-			t.learn(now, t.loadTime(now)+deniedStep/2)
+			t.loads.learn(now, t.loads.Estimate(now)+deniedStep/2)
 		}
 		if t.conflicts >= conflictsForDoubt {
 			t.conflicts = 0
@@ -525,7 +558,7 @@
 	t.version++
 	switch order.Kind {
 	case LoadAdapter:
-		ready := now.Add(t.loadTime(now))
+		ready := now.Add(t.loads.Estimate(now))
 		if done {
 			ready = now
 		}
@@ -562,33 +595,16 @@
 	if rounds <= 1 {
 		return t.config.LoadTime
 	}
-	return time.Duration(rounds) * t.loadTime(now)
+	return time.Duration(rounds) * t.loads.Estimate(now)
 }
 
-// Figures of the estimate of a load's time. Engines share the bandwidth of the
-// weight store, so loads take longer while many are on their way anywhere.
-const (
-	// extraHalfLife is that of what was learned, so that it also falls while
-	// no loads are given.
-	extraHalfLife = 2 * time.Second
-	// deniedStep is the pause before an engine that was asked too early is
-	// asked again.
-	deniedStep  = 70 * time.Millisecond
-	maxLoadTime = 1500 * time.Millisecond
-	// lateLoad is the age of a load from which an engine that denies having
-	// the adapter has lost it.
-	lateLoad = 3 * time.Second
-)
-
-// loadTime estimates how long a load takes now.
-func (t *Table) loadTime(now time.Time) time.Duration {
-	age := now.Sub(t.extraAt).Seconds() / extraHalfLife.Seconds()
-	return t.config.LoadTime + time.Duration(float64(t.extra)*math.Exp2(-age))
-}
+// deniedStep is the pause before an engine that was asked too early is asked
+// again.
+const deniedStep = 70 * time.Millisecond
 
-func (t *Table) learn(now time.Time, took time.Duration) {
-	t.extra, t.extraAt = min(took, maxLoadTime)-t.config.LoadTime, now
-}
+// lateLoad is the age of a load from which an engine that denies having the
+// adapter has lost it.
+const lateLoad = 3 * time.Second
 
 // Denied takes an engine's word that it does not have an adapter that the
 // table holds: it is still loading, or the engine has lost what it held.
@@ -603,7 +619,7 @@
 		t.doubt(now)
 		return
 	}
-	t.learn(now, max(t.loadTime(now), age)+deniedStep/2)
+	t.loads.learn(now, max(t.loads.Estimate(now), age)+deniedStep/2)
 	entry.Loading, entry.Ready = true, now.Add(deniedStep)
 	t.version++
 }
--- a/pkg/coordination/residency/table_test.go
+++ b/pkg/coordination/residency/table_test.go
@@ -14,6 +14,13 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 )
 
+func newTable() *residency.Table {
+	config := residency.DefaultConfig()
+	return residency.NewTable(config, residency.NewLoadTime(config.LoadTime))
+}
+
+func noneActive() map[serving.AdapterKey]bool { return nil }
+
 func TestMain(m *testing.M) { rapidtest.Main(m, 44, 300) }
 
 const model = "base"
@@ -104,7 +111,7 @@
 func TestNeverMoreThanTheSlotsHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := newEngine()
-		tables := []*residency.Table{residency.NewTable(residency.DefaultConfig()), residency.NewTable(residency.DefaultConfig())}
+		tables := []*residency.Table{newTable(), newTable()}
 		owner := 0
 		for step := range 200 {
 			now := start.Add(time.Duration(step) * 50 * time.Millisecond)
@@ -115,7 +122,7 @@
 				e.remember(now)
 			case 2:
 				owner = 1 - owner
-				tables[owner] = residency.NewTable(residency.DefaultConfig())
+				tables[owner] = newTable()
 			}
 			table := tables[owner]
 			table.Want(residency.Want{Key: key(rapid.IntRange(0, 9).Draw(t, "adapter")), Version: 1, Since: now})
@@ -123,7 +130,7 @@
 				lag := time.Duration(rapid.IntRange(0, 400).Draw(t, "lag")) * time.Millisecond
 				table.Apply(now, now, e.report(now, lag))
 			}
-			order, due := table.Next(now, limits, true, nil)
+			order, due := table.Next(now, limits, true, noneActive)
 			if !due {
 				continue
 			}
@@ -145,7 +152,7 @@
 // known returns a table of an engine that holds the first adapters.
 func known(t *testing.T, adapters int) *residency.Table {
 	t.Helper()
-	table := residency.NewTable(residency.DefaultConfig())
+	table := newTable()
 	report := residency.Report{Started: 1, Sequence: 7, Models: []serving.HeldModel{{Name: model}}}
 	for i := range adapters {
 		report.Models[0].Adapters = append(report.Models[0].Adapters, ids.AdapterRef{Adapter: key(i).Adapter, Version: 1})
@@ -164,19 +171,19 @@
 		table.Used(now, key(i), 3)
 	}
 	table.Want(residency.Want{Key: key(9), Since: now})
-	order, due := table.Next(now, limits, true, map[serving.AdapterKey]bool{key(2): true})
+	order, due := table.Next(now, limits, true, func() map[serving.AdapterKey]bool { return map[serving.AdapterKey]bool{key(2): true} })
 	assert.Assert(t, due)
 	assert.Equal(t, order.Kind, residency.UnloadAdapter)
 	assert.Assert(t, order.Adapter != key(2).Adapter, "an adapter with open requests was evicted")
 	table.Finish(now, order, residency.Done)
-	order, due = table.Next(now, limits, true, nil)
+	order, due = table.Next(now, limits, true, noneActive)
 	assert.Assert(t, due)
 	assert.Equal(t, order.Adapter, key(9).Adapter)
 	assert.Equal(t, order.Sequence, uint64(8))
 	table.Finish(now, order, residency.Accepted)
 	now = now.Add(300 * time.Millisecond)
 	table.Want(residency.Want{Key: key(8), Since: now})
-	order, due = table.Next(now, limits, true, nil)
+	order, due = table.Next(now, limits, true, noneActive)
 	assert.Assert(t, due)
 	assert.Assert(t, order.Adapter != key(9).Adapter, "an adapter that has just come was evicted")
 }
@@ -186,7 +193,7 @@
 func TestLaggingReportChangesNothing(t *testing.T) {
 	table := known(t, 1)
 	table.Want(residency.Want{Key: key(5), Since: start})
-	order, due := table.Next(start, limits, true, nil)
+	order, due := table.Next(start, limits, true, noneActive)
 	assert.Assert(t, due)
 	table.Finish(start, order, residency.Accepted)
 	table.Apply(start, start, residency.Report{Started: 1, Sequence: 7, Models: []serving.HeldModel{{Name: model}}})
@@ -202,7 +209,7 @@
 	assert.Assert(t, !found)
 	table.Apply(start, start, residency.Report{Started: 1, Sequence: 9, Models: []serving.HeldModel{{Name: model}}})
 	table.Want(residency.Want{Key: key(0), Since: start})
-	order, due := table.Next(start, limits, true, nil)
+	order, due := table.Next(start, limits, true, noneActive)
 	assert.Assert(t, due)
 	assert.Equal(t, order.Sequence, uint64(0))
 }
@@ -210,12 +217,12 @@
 // Guards against an engine without its base model after a crash, and against
 // loads of base models beyond the weight store's rate.
 func TestEmptyEngineGetsItsModelWhenTheStoreHasRoom(t *testing.T) {
-	table := residency.NewTable(residency.DefaultConfig())
+	table := newTable()
 	table.Apply(start, start, residency.Report{Started: 1})
 	table.Want(residency.Want{Key: key(0), Since: start})
-	_, due := table.Next(start, limits, false, nil)
+	_, due := table.Next(start, limits, false, noneActive)
 	assert.Assert(t, !due)
-	order, due := table.Next(start, limits, true, nil)
+	order, due := table.Next(start, limits, true, noneActive)
 	assert.Assert(t, due)
 	assert.Equal(t, order.Kind, residency.LoadModel)
 }
@@ -227,7 +234,7 @@
 	_, found := table.Find(key(0), 2)
 	assert.Assert(t, !found)
 	table.Want(residency.Want{Key: key(0), Version: 2, Since: start})
-	order, due := table.Next(start, limits, true, nil)
+	order, due := table.Next(start, limits, true, noneActive)
 	assert.Assert(t, due)
 	assert.Equal(t, order.Kind, residency.LoadAdapter)
 	assert.Equal(t, order.Version, ids.AdapterVersion(2))
@@ -240,7 +247,7 @@
 	table := known(t, 0)
 	load := func(now time.Time, i int) residency.Order {
 		table.Want(residency.Want{Key: key(i), Since: now})
-		order, due := table.Next(now, limits, true, nil)
+		order, due := table.Next(now, limits, true, noneActive)
 		assert.Assert(t, due)
 		table.Finish(now, order, residency.Accepted)
 		return order
@@ -272,7 +279,7 @@
 func TestLoadTimeFallsWithoutLoads(t *testing.T) {
 	table := known(t, 0)
 	table.Want(residency.Want{Key: key(0), Since: start})
-	order, due := table.Next(start, limits, true, nil)
+	order, due := table.Next(start, limits, true, noneActive)
 	assert.Assert(t, due)
 	table.Finish(start, order, residency.Accepted)
 	for i := range 20 {
@@ -283,3 +290,26 @@
 	later := denied.Add(10 * time.Second)
 	assert.Assert(t, table.Backlog(later, 0) < residency.DefaultConfig().LoadTime+50*time.Millisecond)
 }
+
+// Guards against requests that wait for a slot at an engine all of whose
+// adapters are in use, or for an adapter at one whose base model is gone.
+func TestRoomCountsAdaptersWithoutOpenRequests(t *testing.T) {
+	table := newTable()
+	limits := residency.Limits{AdapterSlots: 2, WeightsMB: 1000, Models: []serving.Model{{Name: "base", WeightsMB: 500, AdapterMB: 10}}}
+	table.Apply(start, start, residency.Report{Sequence: 1, Models: []serving.HeldModel{{Name: "base", Adapters: []ids.AdapterRef{{Adapter: key(1).Adapter}, {Adapter: key(2).Adapter}}}}})
+	now := start.Add(2 * time.Second)
+	inUse := func(keys ...serving.AdapterKey) func() map[serving.AdapterKey]bool {
+		active := make(map[serving.AdapterKey]bool)
+		for _, k := range keys {
+			active[k] = true
+		}
+		return func() map[serving.AdapterKey]bool { return active }
+	}
+	assert.Equal(t, table.Room(now, limits, inUse(key(1), key(2))), 0)
+	assert.Equal(t, table.Room(now, limits, inUse(key(1))), 1)
+	table.Want(residency.Want{Key: key(3), Since: now})
+	assert.Equal(t, table.Room(now, limits, inUse(key(1))), 0)
+	assert.Assert(t, table.HasModel("base"))
+	table.Apply(now, now, residency.Report{Sequence: 2})
+	assert.Assert(t, !table.HasModel("base"))
+}
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -84,6 +84,7 @@
 // adapter where needed, and refuses when that cannot be done in time.
 func (n *Node) placeEngine(ctx context.Context, p *progress) (*serving.Endpoint, *refusal) {
 	limit := p.request.Arrived.Add(n.holdLimit(p.request))
+	crowded := refuseNoEndpoint()
 	for {
 		now := time.Now()
 		if ctx.Err() != nil {
@@ -103,9 +104,18 @@
 			}
 		}
 		holders, soon := n.holders(now, endpoints, p.request.AdapterKey(), required)
-		if e := n.pick(now, holders, p.salt); e != nil {
+		if e := n.pick(now, p.uncrowded(holders), p.salt); e != nil {
 			n.considerCopy(now, p, e, endpoints)
-			return e, n.overload(now, p, e)
+			refused := n.begin(ctx, p, e)
+			if refused == nil {
+				return e, nil
+			}
+			crowded = refused
+			p.crowded[e.ID] = true
+			continue
+		}
+		if len(holders) > 0 {
+			return nil, crowded
 		}
 		if !now.Before(limit) {
 			return nil, refuseBusy(retryAfterBusy, "adapter not loaded in time")
@@ -120,6 +130,20 @@
 	}
 }
 
+// uncrowded returns the engines that have not refused to begin the request.
+func (p *progress) uncrowded(engines []*serving.Endpoint) []*serving.Endpoint {
+	if len(p.crowded) == 0 {
+		return engines
+	}
+	var left []*serving.Endpoint
+	for _, e := range engines {
+		if !p.crowded[e.ID] {
+			left = append(left, e)
+		}
+	}
+	return left
+}
+
 // holdLimit is how long a request may wait for its adapter. Beyond it, a
 // caller that comes back is served sooner than one that waits.
 func (n *Node) holdLimit(r *serving.Request) time.Duration {
@@ -166,14 +190,14 @@
 	return n.balancer.Pick(now, endpoints, salt)
 }
 
-// home returns the engine that should get an adapter that none holds, without
-// those that cannot load it in time.
+// home returns the engine that should get an adapter that none holds, among
+// those that hold its base model and can load it in time.
 func (n *Node) home(now time.Time, p *progress, endpoints []*serving.Endpoint) *serving.Endpoint {
 	n.balanceMu.Lock()
 	defer n.balanceMu.Unlock()
 	var candidates []*serving.Endpoint
 	for _, e := range balance.Rank(p.request.AdapterKey().String(), endpoints) {
-		if _, known := n.residents.free(e.ID); known && !p.full[e.ID] && n.balancer.Available(now, e.ID) {
+		if _, known := n.residents.free(e.ID, p.request.Model); known && !p.full[e.ID] && n.balancer.Available(now, e.ID) {
 			candidates = append(candidates, e)
 		}
 		if len(candidates) == homes {
@@ -184,7 +208,7 @@
 	var least float64
 	for _, e := range candidates {
 		weight := n.balancer.Weight(now, e.ID)
-		if free, _ := n.residents.free(e.ID); free <= 0 {
+		if free, _ := n.residents.free(e.ID, p.request.Model); free <= 0 {
 			weight += fullPenalty
 		}
 		if best == nil || weight+homeMargin < least {
@@ -202,7 +226,7 @@
 )
 
 // maxHomes bounds the engines that are asked for one request.
-const maxHomes = 3
+const maxHomes = 4
 
 // ensureAtHome asks the owner of an adapter's home engine to load it. It
 // returns nil where another look at the engines is due.
@@ -294,7 +318,7 @@
 	var least *serving.Endpoint
 	var leastWeight float64
 	for _, e := range endpoints {
-		if _, known := n.residents.free(e.ID); !known || !n.balancer.Available(now, e.ID) {
+		if _, known := n.residents.free(e.ID, p.request.Model); !known || !n.balancer.Available(now, e.ID) {
 			continue
 		}
 		if w := n.balancer.Weight(now, e.ID); least == nil || w < leastWeight {
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -44,6 +44,8 @@
 	denied *serving.Endpoint
 	// full holds the engines that cannot load the adapter in time.
 	full map[ids.EndpointID]bool
+	// crowded holds the engines that cannot begin the request in time.
+	crowded map[ids.EndpointID]bool
 	// runs counts the endpoints at which the request may have begun to run.
 	runs    int
 	sends   int
@@ -53,6 +55,11 @@
 	// that VM.
 	home  ids.EndpointID
 	owner ids.VMID
+	// grant is the word of an owner that the request may begin, until the
+	// owner is told of its first token.
+	grant grant
+	// turnWait is how long the request waited for owners to let it begin.
+	turnWait time.Duration
 	// lastEvent is the id of the last event that the caller got.
 	lastEvent string
 	committed bool
@@ -70,7 +77,7 @@
 	p := &progress{
 		request: &serving.Request{ID: call.ID, Arrived: arrived},
 		header:  r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
-		avoid: make(map[ids.EndpointID]bool), full: make(map[ids.EndpointID]bool),
+		avoid: make(map[ids.EndpointID]bool), full: make(map[ids.EndpointID]bool), crowded: make(map[ids.EndpointID]bool),
 		salt: n.salt.Add(1),
 	}
 	if err != nil {
@@ -228,6 +235,7 @@
 		Cost:       p.request.Cost,
 		Generation: p.request.Service.Engine != nil,
 		Urgency:    p.request.Route.Priority,
+		Draw:       rand.Float64(),
 	})
 	if !admitted {
 		return &refusal{status: http.StatusTooManyRequests, reason: "over the customer's rate", retryAfter: after}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -19,35 +19,53 @@
 // which a member counts as silent.
 const (
 	exchangeInterval = 250 * time.Millisecond
-	exchangeTimeout  = 600 * time.Millisecond
-	deltaTimeout     = 1500 * time.Millisecond
+	// leafInterval is that of leaves, of which a relay may have many.
+	leafInterval    = 350 * time.Millisecond
+	exchangeTimeout = 600 * time.Millisecond
+	// pausesInterval is the pause between messages to a peer that carry the
+	// counts of late streams, which change slowly.
+	pausesInterval = time.Second
+	deltaTimeout   = 1500 * time.Millisecond
 	// stallGap is the pause of the exchange loop that means that the process
 	// stood still.
 	stallGap = 700 * time.Millisecond
 )
 
+// relayedJitter is the load by which endpoints count as equal while loads
+// travel through relays: about what arrives at one within that time.
+const relayedJitter = 1.5
+
 // Methods between VMs.
 const (
 	methodExchange = "node.exchange"
 	methodDelta    = "node.delta"
 	methodEnsure   = "node.ensure"
+	methodBegin    = "node.begin"
+	methodStarted  = "node.started"
 )
 
 // summary is what a VM tells another several times a second.
 type summary struct {
 	fleet.Announcement
-	// Members are the peers that the VM has heard.
-	Members []ids.VMID `json:"members,omitempty"`
+	// Roster is the members that a relay takes for alive, and RosterSeen the
+	// version of the receiver's roster that the sender has.
+	Roster     fleet.Roster `json:"roster"`
+	RosterSeen uint64       `json:"rosterSeen,omitempty"`
 	// Through is the store's revision that the VM has applied, and ProofMs the
 	// age of the proof that it is current; negative if there is none.
-	Through ids.Revision                      `json:"through"`
-	ProofMs int64                             `json:"proof"`
-	Claims  []authority.Claim                 `json:"claims,omitempty"`
-	Totals  caps.Totals                       `json:"totals,omitempty"`
-	Loads   map[ids.EndpointID]balance.Load   `json:"loads,omitempty"`
-	Pauses  map[ids.EndpointID]balance.Pauses `json:"pauses,omitempty"`
-	Uses    map[string]float64                `json:"uses,omitempty"`
-	// Active are the adapters with open requests at the VM.
+	Through ids.Revision      `json:"through"`
+	ProofMs int64             `json:"proof"`
+	Claims  []authority.Claim `json:"claims,omitempty"`
+	// Holdings are the claims of the other VMs. A relay tells them its leaves.
+	Holdings []authority.Holding `json:"holdings,omitempty"`
+	// Totals, Active and what is told of endpoints are those of the sender and its leaves,
+	// or of all VMs but the receiver if that is a leaf.
+	Totals caps.Totals `json:"totals,omitempty"`
+	// Fleet is set where they are those of all VMs.
+	Fleet bool `json:"fleet,omitempty"`
+	balance.Told
+	Uses map[string]float64 `json:"uses,omitempty"`
+	// Active are adapters with open requests, told to VMs that order engines.
 	Active []string                          `json:"active,omitempty"`
 	Seen   uint64                            `json:"seen,omitempty"`
 	Tables map[ids.EndpointID]publishedTable `json:"tables,omitempty"`
@@ -55,6 +73,19 @@
 	TablesAt uint64 `json:"tablesAt,omitempty"`
 }
 
+// scope is what a message carries besides the announcement and the proof.
+type scope int
+
+const (
+	// scopeBrief is a call between relays of a larger fleet, whose state
+	// travels in the reply.
+	scopeBrief scope = iota
+	// scopeOwn is the state of the VM and its leaves.
+	scopeOwn
+	// scopeFleet is what a relay tells its leaf of all VMs.
+	scopeFleet
+)
+
 type deltaRequest struct {
 	After ids.Revision `json:"after"`
 }
@@ -64,6 +95,8 @@
 	peers.Handle(registry, methodExchange, n.handleExchange)
 	peers.Handle(registry, methodDelta, n.handleDelta)
 	peers.Handle(registry, methodEnsure, n.handleEnsure)
+	peers.Handle(registry, methodBegin, n.handleBegin)
+	peers.Handle(registry, methodStarted, n.handleStarted)
 	return registry
 }
 
@@ -82,7 +115,11 @@
 		last = now
 		n.exchangeRound(ctx, now)
 		n.claim(time.Now())
-		pause := exchangeInterval + time.Duration(rand.Int64N(int64(exchangeInterval/5)))
+		interval := exchangeInterval
+		if !n.lastPlan.Relay {
+			interval = leafInterval
+		}
+		pause := interval + time.Duration(rand.Int64N(int64(interval/5)))
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -113,7 +150,14 @@
 
 func (n *Node) exchangeWith(ctx context.Context, id ids.VMID) {
 	asked := time.Now()
-	reply, err := peers.Call[summary](ctx, n.peers, id, methodExchange, exchangeTimeout, n.summarize(asked, id))
+	n.membersMu.Lock()
+	plan := n.fleet.Plan(asked)
+	n.membersMu.Unlock()
+	told := scopeOwn
+	if plan.Relay && !plan.Mesh {
+		told = scopeBrief
+	}
+	reply, err := peers.Call[summary](ctx, n.peers, id, methodExchange, exchangeTimeout, n.summarize(asked, id, told))
 	if err != nil {
 		n.countPeerFailure(id, err)
 		return
@@ -144,8 +188,15 @@
 func (n *Node) handleExchange(_ context.Context, _ peers.From, request summary) (summary, error) {
 	now := time.Now()
 	n.hear(now, request)
-	reply := n.summarize(now, request.ID)
-	reply.Tables, reply.TablesAt = n.owner.tablesSince(now, request.Seen)
+	n.membersMu.Lock()
+	plan := n.fleet.Plan(now)
+	n.membersMu.Unlock()
+	tell, choose := scopeOwn, n.owner.owns()
+	if plan.Relay && !request.Relay {
+		tell, choose = scopeFleet, func(ids.EndpointID) bool { return true }
+	}
+	reply := n.summarize(now, request.ID, tell)
+	reply.Tables, reply.TablesAt = n.residents.tablesSince(now, request.Seen, choose)
 	return reply, nil
 }
 
@@ -154,17 +205,8 @@
 }
 
 // summarize returns the VM's state for a peer.
-func (n *Node) summarize(now time.Time, to ids.VMID) summary {
-	s := summary{
-		Announcement: fleet.Announcement{
-			ID:         n.settings.Self(),
-			DataCentre: n.settings.DataCentre,
-			Boot:       n.boot,
-			UptimeMs:   now.Sub(n.started).Milliseconds(),
-			Leaving:    n.leaving.Load(),
-		},
-		ProofMs: -1,
-	}
+func (n *Node) summarize(now time.Time, to ids.VMID, tell scope) summary {
+	s := summary{ProofMs: -1, Seen: n.residents.seen(to)}
 	n.proofMu.Lock()
 	s.Through = n.mirror.Through()
 	if age, proven := n.proof.Age(now); proven {
@@ -172,41 +214,74 @@
 	}
 	n.proofMu.Unlock()
 	n.membersMu.Lock()
-	for _, m := range n.fleet.Alive(now) {
-		s.Members = append(s.Members, m.ID)
-	}
+	s.Announcement = n.fleet.Self(now)
+	s.Roster, s.RosterSeen = n.fleet.Roster(now, to), n.fleet.RosterSeen(to)
+	leaves, orders := n.fleet.Leaves(now), n.fleet.Orders(to)
 	s.Claims = n.authority.Claims()
+	if tell == scopeFleet {
+		s.Holdings = n.authority.Holdings()
+	}
 	n.membersMu.Unlock()
+	s.Uses = n.residents.takeUses(to)
+	if tell == scopeBrief {
+		return s
+	}
+	n.tellCounts(now, &s, to, tell, leaves)
+	if orders || !s.Relay {
+		s.Active = n.owner.activeNames(now, func(vm ids.VMID) bool { return leaves[vm] && vm != to })
+	}
+	return s
+}
+
+// tellCounts fills in the totals, loads and pauses for a peer.
+func (n *Node) tellCounts(now time.Time, s *summary, to ids.VMID, tell scope, leaves map[ids.VMID]bool) {
+	with := func(vm ids.VMID) bool { return vm != to && (tell == scopeFleet || leaves[vm]) }
 	n.capsMu.Lock()
-	s.Totals = n.caps.Own()
+	s.Fleet = tell == scopeFleet
+	if s.Fleet {
+		s.Totals = n.caps.ToldTo(to)
+	} else {
+		s.Totals = n.caps.Told()
+	}
 	n.capsMu.Unlock()
 	n.balanceMu.Lock()
-	s.Loads, s.Pauses = n.balancer.Own(), n.balancer.OwnPauses(now)
+	s.Loads, s.Outcomes = n.balancer.Loads(now, with), n.balancer.Outcomes(now, with)
+	if now.Sub(n.pausesTold[to]) >= pausesInterval {
+		n.pausesTold[to] = now
+		s.Pauses = n.balancer.Pauses(now, with)
+	}
 	n.balanceMu.Unlock()
-	s.Uses = n.residents.takeUses(to)
-	s.Active = n.residents.activeNames()
-	s.Seen = n.residents.seen(to)
-	return s
 }
 
 // hear takes the state of a peer.
 func (n *Node) hear(now time.Time, s summary) {
 	n.membersMu.Lock()
 	restarted := n.fleet.Hear(now, s.Announcement)
-	n.fleet.Learn(now, s.Members)
+	n.fleet.HearRoster(now, s.Announcement, s.Roster, s.RosterSeen)
+	plan := n.fleet.Plan(now)
 	n.authority.Hear(now, s.ID, s.Boot, s.Claims)
 	n.authority.HolderHeard(now, s.ID)
+	if s.ID == plan.Home {
+		n.authority.HearRelayed(now, s.ID, s.Holdings)
+	}
+	owners := n.authority.Holders()
 	n.membersMu.Unlock()
 	if restarted {
-		n.note("member heard", fields{"peer": s.ID, "boot": s.Boot, "dataCentre": s.DataCentre, "uptimeMs": s.UptimeMs})
+		n.note("member heard", fields{"peer": s.ID, "boot": s.Boot, "dataCentre": s.DataCentre, "uptimeMs": s.UptimeMs, "relay": s.Relay})
 	}
+	leaf := plan.Relay && !s.Relay
 	n.capsMu.Lock()
-	n.caps.Hear(now, s.ID, s.Boot, time.Duration(s.UptimeMs)*time.Millisecond, s.Totals)
+	n.caps.Hear(now, s.ID, caps.Report{Boot: s.Boot, Uptime: time.Duration(s.UptimeMs) * time.Millisecond, Totals: s.Totals, Leaf: leaf, Fleet: s.Fleet})
 	n.capsMu.Unlock()
-	n.balanceMu.Lock()
-	n.balancer.Hear(now, s.ID, s.Loads, s.Pauses)
-	n.balanceMu.Unlock()
+	if s.Loads != nil {
+		n.balanceMu.Lock()
+		n.balancer.Hear(now, s.ID, s.Told)
+		n.balanceMu.Unlock()
+	}
 	n.owner.used(now, s.Uses)
+	if leaf && len(s.Uses) > 0 {
+		n.residents.use(s.Uses, owners)
+	}
 	n.owner.hearActive(now, s.ID, s.Active)
 	n.residents.hear(now, s.ID, s.Boot, s.Tables, s.TablesAt)
 }
@@ -218,15 +293,28 @@
 	silent := n.fleet.Silent(now)
 	candidates := make([]authority.Candidate, 0, len(alive))
 	for _, m := range alive {
-		candidates = append(candidates, authority.Candidate{ID: m.ID, DataCentre: m.DataCentre, Boot: m.Boot, Started: m.Started, Leaving: m.Leaving})
+		candidates = append(candidates, authority.Candidate{ID: m.ID, DataCentre: m.DataCentre, Boot: m.Boot, Started: m.Started, Leaving: m.Leaving, Size: m.Size})
 	}
 	before := len(n.authority.Claims())
 	n.authority.Tick(now, now, n.leaving.Load(), n.settings.DataCentres, candidates)
 	claims := n.authority.Claims()
+	n.fleet.SetSelf(n.leaving.Load(), len(claims) > 0)
+	plan := n.fleet.Plan(now)
 	n.membersMu.Unlock()
 	if len(claims) != before {
 		n.note("claims changed", fields{"claims": claims, "alive": len(alive), "silent": len(silent)})
 	}
+	if plan.Relay != n.lastPlan.Relay || plan.Home != n.lastPlan.Home {
+		n.lastPlan = plan
+		jitter := 0.0
+		if !plan.Mesh {
+			jitter = relayedJitter
+		}
+		n.balanceMu.Lock()
+		n.balancer.SetJitter(jitter)
+		n.balanceMu.Unlock()
+		n.note("place in the exchange changed", fields{"relay": plan.Relay, "home": plan.Home, "alive": len(alive), "silent": len(silent)})
+	}
 	n.capsMu.Lock()
 	n.caps.SetSides(len(alive)+1, len(silent))
 	n.capsMu.Unlock()
--- a/pkg/node/forward.go
+++ b/pkg/node/forward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 )
 
@@ -73,7 +74,8 @@
 			return
 		case result.shed:
 			shed++
-			if shed > maxShed || !n.mayRepeat(p) {
+			// A request that did not leave this VM is no repeat at the service.
+			if shed > maxShed || !result.unreachable && !n.mayRepeat(p) {
 				n.endUnsent(r, w, p, refuseBusy(retryNoEndpoint, "endpoints shed the request: "+result.reason))
 				return
 			}
@@ -142,6 +144,7 @@
 		abortConnection()
 		return
 	}
+	n.endGrant(&p.grant, false)
 	if p.runs > 0 && (refused.status == http.StatusServiceUnavailable || refused.status == http.StatusTooManyRequests) {
 		n.fail(w, p, failUnknown(refused.reason))
 		return
@@ -206,11 +209,14 @@
 		return
 	}
 	n.membersMu.Lock()
-	owners := n.authority.Holders()
+	told := n.authority.Holders()
+	if plan := n.fleet.Plan(time.Now()); !plan.Relay {
+		told = []ids.VMID{plan.Home}
+	}
 	n.membersMu.Unlock()
-	key := p.request.AdapterKey()
-	n.residents.use(key, owners)
-	n.owner.used(time.Now(), map[string]float64{key.String(): 1})
+	uses := map[string]float64{p.request.AdapterKey().String(): 1}
+	n.residents.use(uses, told)
+	n.owner.used(time.Now(), uses)
 }
 
 // overload refuses a request whose prompt would not be read in time at the
@@ -235,6 +241,8 @@
 	switch {
 	case result.done:
 		return balance.Served
+	case result.unreachable && !callerLeft:
+		return balance.Unreachable
 	case result.shed && !result.unreachable:
 		return balance.Shed
 	case callerLeft:
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -88,6 +88,8 @@
 
 	balanceMu sync.Mutex
 	balancer  *balance.Balancer
+	// pausesTold is when each peer was last told of late streams.
+	pausesTold map[ids.VMID]time.Time
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*retrybudget.Budget
@@ -99,6 +101,11 @@
 	pace      *pace
 	peers     *peers.Node
 	calling   inFlight
+	// silentOwners did not answer whether a request may begin.
+	silentOwners silentOwners
+
+	// lastPlan is the last plan that was logged. Only the exchange loop uses it.
+	lastPlan fleet.Plan
 
 	nudge    chan struct{}
 	leaving  atomic.Bool
@@ -125,20 +132,22 @@
 		boot: ids.BootID(uuid.NewString()[:8]), started: now,
 		lines: lines, log: observability.NewLogger(lines, options.LogLevel, &observability.Redactor{}),
 		mirror: mirror.New(), directory: directory.New(), declared: newDeclaredVersions(),
-		fleet: fleet.New(fleet.DefaultConfig(), settings.Self(), settings.Seeds),
 		authority: authority.New(authority.Config{
-			Self: settings.Self(), DataCentre: settings.DataCentre, Unique: uniqueOf(settings.IP),
+			Self: settings.Self(), DataCentre: settings.DataCentre, Size: settings.Size, Unique: uniqueOf(settings.IP),
 			Lease: settings.Bounds.Lease, Settle: settle, Confirm: confirmAfterStall,
 		}, now),
-		caps:      caps.New(settings.FirstStart),
-		balancer:  balance.New(balance.DefaultConfig(settings.DataCentre)),
-		budgets:   make(map[string]*retrybudget.Budget),
-		residents: newResidents(),
-		copies:    &pacer{last: make(map[serving.AdapterKey]demandCount), pause: copyPause, need: copyDemand},
-		pace:      newPace(),
-		calling:   inFlight{open: make(map[ids.VMID]int)},
-		nudge:     make(chan struct{}, 1),
+		caps:       caps.New(settings.FirstStart),
+		balancer:   balance.New(balance.DefaultConfig(settings.DataCentre)),
+		pausesTold: make(map[ids.VMID]time.Time),
+		budgets:    make(map[string]*retrybudget.Budget),
+		residents:  newResidents(),
+		copies:     &pacer{last: make(map[serving.AdapterKey]demandCount), pause: copyPause, need: copyDemand},
+		pace:       newPace(),
+		calling:    inFlight{open: make(map[ids.VMID]int)},
+		nudge:      make(chan struct{}, 1),
 	}
+	self := fleet.Announcement{ID: settings.Self(), DataCentre: settings.DataCentre, Boot: n.boot, Size: settings.Size}
+	n.fleet = fleet.New(fleet.DefaultConfig(), now, self, settings.Seeds)
 	n.aliveVMs.Store(1)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
--- a/pkg/node/notes.go
+++ b/pkg/node/notes.go
@@ -97,7 +97,7 @@
 	}
 	if r.Adapter != "" {
 		f["adapter"] = r.AdapterKey().String()
-		f["ensures"] = p.ensures
+		f["ensures"], f["turnMs"] = p.ensures, p.turnWait.Milliseconds()
 		if p.home != "" {
 			f["home"], f["owner"] = p.home, p.owner
 		}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/prompts"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/replicas"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/residency"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
@@ -16,6 +20,8 @@
 // Timings of the orders to engines.
 const (
 	ownerInterval = 25 * time.Millisecond
+	// idleInterval is the pause between looks for claims at a VM without any.
+	idleInterval = 150 * time.Millisecond
 	// reportInterval is the pause between reports of an engine whose state is
 	// known, which show that it restarted; each report has a price.
 	reportInterval = 1500 * time.Millisecond
@@ -41,23 +47,33 @@
 	limits   residency.Limits
 	busy     bool
 	reported time.Time
-	// published is the table's version that was published, at which count.
+	// published is the table's version that was published.
 	published uint64
-	changedAt uint64
 	fence     ids.Fence
+	// gate decides when requests begin; turns are those that wait for it.
+	gate  *prompts.Gate
+	turns map[ids.RequestID]chan prompts.Decision
 }
 
 // owner orders the engines of the data centres that this VM has claimed.
 type owner struct {
 	node *Node
 
-	mu       sync.Mutex
-	engines  map[ids.EndpointID]*engine
-	changes  uint64
+	mu      sync.Mutex
+	engines map[ids.EndpointID]*engine
+	// followed and fences are the view and the tokens of the last step.
+	followed *directory.View
+	fences   map[ids.DataCentreID]ids.Fence
 	loads    float64
 	loadedAt time.Time
 	// active holds the adapters with open requests at each VM.
 	active map[ids.VMID]activeAdapters
+	// demand counts the uses of adapters at all VMs, by which popular ones
+	// are copied.
+	demand   *replicas.Demand
+	copiedAt time.Time
+	// loadTime is learned from all engines of this owner.
+	loadTime *residency.LoadTime
 }
 
 // activeAdapters are the adapters with open requests at one VM.
@@ -70,32 +86,32 @@
 const activeAge = 2 * time.Second
 
 func newOwner(n *Node) *owner {
-	return &owner{node: n, engines: make(map[ids.EndpointID]*engine), loads: modelLoadReserve, active: make(map[ids.VMID]activeAdapters)}
+	return &owner{node: n, engines: make(map[ids.EndpointID]*engine), loads: modelLoadReserve, active: make(map[ids.VMID]activeAdapters), demand: replicas.New(replicas.DefaultConfig()), loadTime: residency.NewLoadTime(residency.DefaultConfig().LoadTime)}
 }
 
 // run gives orders until the VM stops.
 func (o *owner) run(ctx context.Context) {
-	ticker := time.NewTicker(ownerInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	for ctx.Err() == nil {
+		if o.step(ctx, time.Now()) {
+			sleep(ctx, ownerInterval)
+		} else {
+			sleep(ctx, idleInterval)
 		}
-		o.step(ctx, time.Now())
 	}
 }
 
-// step starts at most one call to each engine that is owned.
-func (o *owner) step(ctx context.Context, now time.Time) {
+// step starts at most one call to each engine that is owned. It reports whether
+// there are any.
+func (o *owner) step(ctx context.Context, now time.Time) bool {
 	view := o.node.directory.View()
 	fences := o.node.fences(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.follow(now, view, fences)
-	active := o.activeKeys(now)
+	o.replicate(now, view)
+	active := sync.OnceValue(func() map[serving.AdapterKey]bool { return o.activeKeys(now) })
 	for _, e := range o.engines {
+		e.nextTurns(now)
 		if e.busy {
 			continue
 		}
@@ -114,10 +130,74 @@
 		}
 	}
 	o.publish(now)
+	return len(o.engines) > 0
+}
+
+// replicateInterval is the pause between looks at the adapters that need more
+// copies; a load takes about half of it.
+const replicateInterval = 500 * time.Millisecond
+
+// copyUrgency ranks copies behind the loads that requests wait for.
+const copyUrgency = 100
+
+// replicate orders copies of popular adapters at owned engines. All owners see
+// the same demand and the same order of engines for an adapter, so each takes
+// its part without asking the others.
+func (o *owner) replicate(now time.Time, view *directory.View) {
+	if len(o.engines) == 0 || now.Sub(o.copiedAt) < replicateInterval || view.Config == nil {
+		return
+	}
+	o.copiedAt = now
+	for name, service := range view.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		var engines []*serving.Endpoint
+		for _, e := range view.Service(name) {
+			if !e.Leaving {
+				engines = append(engines, e)
+			}
+		}
+		for _, replica := range o.demand.Wanted(now, len(engines)) {
+			o.copyAdapter(now, replica, engines)
+		}
+	}
+}
+
+// copyAdapter orders the copies of one adapter that are missing at owned
+// engines.
+func (o *owner) copyAdapter(now time.Time, replica replicas.Replicas, engines []*serving.Endpoint) {
+	missing := replica.Count
+	var without []*serving.Endpoint
+	for _, e := range engines {
+		_, held := o.node.residents.find(e.ID, replica.Key, 0)
+		_, hasModel := o.node.residents.free(e.ID, replica.Key.Model)
+		switch {
+		case held:
+			missing--
+		case hasModel:
+			without = append(without, e)
+		}
+	}
+	if missing <= 0 {
+		return
+	}
+	for _, e := range balance.Rank(replica.Key.String(), without)[:min(missing, len(without))] {
+		owned := o.engines[e.ID]
+		if owned == nil || owned.table.Wants() > 0 {
+			continue
+		}
+		owned.table.Want(residency.Want{Key: replica.Key, Version: o.node.declared.newest(replica.Key), Urgency: copyUrgency, Since: now})
+		o.node.note("copy ordered", fields{"adapter": replica.Key.String(), "endpoint": e.ID, "rate": replica.Rate, "copies": replica.Count, "missing": missing})
+	}
 }
 
 // follow takes up the engines that are owned now and drops the others.
 func (o *owner) follow(now time.Time, view *directory.View, fences map[ids.DataCentreID]ids.Fence) {
+	if view == o.followed && maps.Equal(fences, o.fences) {
+		return
+	}
+	o.followed, o.fences = view, fences
 	for id, e := range o.engines {
 		endpoint := view.Endpoints[id]
 		if endpoint == nil || fences[endpoint.DataCentre] == 0 {
@@ -139,7 +219,10 @@
 			continue
 		}
 		if o.engines[id] == nil {
-			o.engines[id] = &engine{endpoint: endpoint, table: residency.NewTable(residency.DefaultConfig()), fence: fence}
+			o.engines[id] = &engine{
+				endpoint: endpoint, table: residency.NewTable(residency.DefaultConfig(), o.loadTime), fence: fence,
+				gate: prompts.New(prompts.DefaultConfig()), turns: make(map[ids.RequestID]chan prompts.Decision),
+			}
 		}
 		o.engines[id].limits = residency.Limits{
 			AdapterSlots: service.Engine.AdapterSlots,
@@ -231,45 +314,28 @@
 	o.publish(now)
 }
 
-// publish gives the VM's own view the tables that changed, and counts the
-// changes for the peers. The caller holds mu.
+// publish gives the tables that changed to the VM's own view, from which the
+// peers get them. The caller holds mu.
 func (o *owner) publish(now time.Time) {
 	for id, e := range o.engines {
 		if !e.table.Known() || e.published == e.table.Version()+1 {
 			continue
 		}
-		o.changes++
-		e.published, e.changedAt = e.table.Version()+1, o.changes
-		o.node.residents.mu.Lock()
-		o.node.residents.take(now, id, e.publishedTable(now))
-		o.node.residents.mu.Unlock()
-	}
-}
-
-func (e *engine) publishedTable(now time.Time) publishedTable {
-	used, capacity := e.table.Slots(e.limits)
-	table := publishedTable{Fence: e.fence, Free: capacity - used, Held: make(map[string]publishedAdapter, used)}
-	for key, held := range e.table.Snapshot(now) {
-		adapter := publishedAdapter{Version: held.Version, Leaving: held.Leaving}
-		if held.Ready.After(now) {
-			adapter.ReadyMs = held.Ready.Sub(now).Milliseconds() + 1
-		}
-		table.Held[key.String()] = adapter
+		e.published = e.table.Version() + 1
+		used, capacity := e.table.Slots(e.limits)
+		o.node.residents.put(id, &engineView{fence: e.fence, free: capacity - used, models: e.table.Models(), held: e.table.Snapshot(now)})
 	}
-	return table
 }
 
-// tablesSince returns the tables that changed after a count.
-func (o *owner) tablesSince(now time.Time, seen uint64) (map[ids.EndpointID]publishedTable, uint64) {
+// owns reports whether this VM orders an engine.
+func (o *owner) owns() func(ids.EndpointID) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	tables := make(map[ids.EndpointID]publishedTable)
-	for id, e := range o.engines {
-		if e.changedAt > seen && e.table.Known() {
-			tables[id] = e.publishedTable(now)
-		}
+	owned := make(map[ids.EndpointID]bool, len(o.engines))
+	for id := range o.engines {
+		owned[id] = true
 	}
-	return tables, o.changes
+	return func(id ids.EndpointID) bool { return owned[id] }
 }
 
 // used counts uses of adapters that a peer told.
@@ -284,6 +350,9 @@
 		if !valid {
 			continue
 		}
+		if len(o.engines) > 0 {
+			o.demand.Used(now, key, times)
+		}
 		for _, e := range o.engines {
 			e.table.Used(now, key, times)
 		}
@@ -297,25 +366,48 @@
 	o.active[vm] = activeAdapters{at: now, keys: keys}
 }
 
-// activeKeys returns the adapters with open requests at any VM. The caller
-// holds mu.
-func (o *owner) activeKeys(now time.Time) map[serving.AdapterKey]bool {
-	active := make(map[serving.AdapterKey]bool)
-	if len(o.engines) == 0 {
-		return active
+// activeNames returns the adapters with open requests at this VM and chosen
+// others.
+func (o *owner) activeNames(now time.Time, choose func(ids.VMID) bool) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.activeNamesOf(now, choose)
+}
+
+// activeNamesOf is activeNames for a caller that holds mu.
+func (o *owner) activeNamesOf(now time.Time, choose func(ids.VMID) bool) []string {
+	names := o.node.residents.activeNames()
+	seen := make(map[string]bool, len(names))
+	for _, name := range names {
+		seen[name] = true
 	}
-	o.active[o.node.settings.Self()] = activeAdapters{at: now, keys: o.node.residents.activeNames()}
 	for vm, told := range o.active {
 		if now.Sub(told.at) > activeAge {
 			delete(o.active, vm)
 			continue
 		}
+		if !choose(vm) {
+			continue
+		}
 		for _, name := range told.keys {
-			if key, valid := splitKey(name); valid {
-				active[key] = true
+			if !seen[name] {
+				seen[name] = true
+				names = append(names, name)
 			}
 		}
 	}
+	return names
+}
+
+// activeKeys returns the adapters with open requests at any VM. The caller
+// holds mu.
+func (o *owner) activeKeys(now time.Time) map[serving.AdapterKey]bool {
+	active := make(map[serving.AdapterKey]bool)
+	for _, name := range o.activeNamesOf(now, func(ids.VMID) bool { return true }) {
+		if key, valid := splitKey(name); valid {
+			active[key] = true
+		}
+	}
 	return active
 }
 
@@ -390,6 +482,13 @@
 // the time in which an engine turns over a fifth of its slots.
 const retryAfterBusy = 800 * time.Millisecond
 
+// hasRoom reports whether an engine can take one more adapter soon. One without
+// the base model cannot: a model takes seconds to load. The caller holds mu.
+func (o *owner) hasRoom(now time.Time, e *engine, model string) bool {
+	active := func() map[serving.AdapterKey]bool { return o.activeKeys(now) }
+	return e.table.HasModel(model) && e.table.Room(now, e.limits, active) > 0
+}
+
 func (o *owner) ensureStep(now time.Time, request ensureRequest, first bool, deadline time.Time) (ensureReply, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -409,6 +508,10 @@
 		if now.Add(wait).After(deadline) {
 			return ensureReply{Status: ensureBusy, RetryMs: wait.Milliseconds()}, false
 		}
+		// A newer version of a held adapter takes the place of the older one.
+		if _, held := e.table.Find(request.Key, 0); e.table.Known() && !held && !o.hasRoom(now, e, request.Key.Model) {
+			return ensureReply{Status: ensureBusy, RetryMs: retryAfterBusy.Milliseconds()}, false
+		}
 	}
 	e.table.Want(residency.Want{Key: request.Key, Version: request.Version, Urgency: request.Urgency, Since: now})
 	return ensureReply{}, true
--- a/pkg/node/residents.go
+++ b/pkg/node/residents.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -25,19 +26,26 @@
 	Held  map[string]publishedAdapter `json:"h"`
 	// Free is the number of slots without an adapter.
 	Free int `json:"n"`
+	// Models are the base models that the engine holds.
+	Models []string `json:"m,omitempty"`
 }
 
 // engineView is the newest table of one engine.
 type engineView struct {
-	fence ids.Fence
-	free  int
-	held  map[serving.AdapterKey]residency.Held
+	fence  ids.Fence
+	free   int
+	models []string
+	held   map[serving.AdapterKey]residency.Held
+	// changedAt is the count of changes at which the table came.
+	changedAt uint64
 }
 
 // residents is what the VM knows of the adapters at all engines.
 type residents struct {
 	mu      sync.RWMutex
 	engines map[ids.EndpointID]*engineView
+	// changes counts the tables that were put in place.
+	changes uint64
 	// through is the change count up to which each peer's tables are known.
 	through map[ids.VMID]peerTables
 	uses    map[ids.VMID]map[string]float64
@@ -88,23 +96,62 @@
 	}
 }
 
-// take puts a table in place unless a later owner's is known.
+// take puts a table that a peer told in place. The caller holds mu.
 func (r *residents) take(now time.Time, id ids.EndpointID, table publishedTable) {
-	view := r.engines[id]
-	if view != nil && view.fence > table.Fence {
-		return
-	}
-	next := &engineView{fence: table.Fence, free: table.Free, held: make(map[serving.AdapterKey]residency.Held, len(table.Held))}
+	view := &engineView{fence: table.Fence, free: table.Free, models: table.Models, held: make(map[serving.AdapterKey]residency.Held, len(table.Held))}
 	for name, adapter := range table.Held {
 		if key, valid := splitKey(name); valid {
-			next.held[key] = residency.Held{
+			view.held[key] = residency.Held{
 				Version: adapter.Version,
 				Ready:   now.Add(time.Duration(adapter.ReadyMs) * time.Millisecond),
 				Leaving: adapter.Leaving,
 			}
 		}
 	}
-	r.engines[id] = next
+	r.replace(id, view)
+}
+
+// put puts a table of this VM's own in place.
+func (r *residents) put(id ids.EndpointID, view *engineView) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replace(id, view)
+}
+
+// replace puts a view in place unless a later owner's is known.
+func (r *residents) replace(id ids.EndpointID, view *engineView) {
+	if old := r.engines[id]; old != nil && old.fence > view.fence {
+		return
+	}
+	r.changes++
+	view.changedAt = r.changes
+	r.engines[id] = view
+}
+
+// tablesSince returns the tables of chosen engines that came after a count of
+// changes, and the count now.
+func (r *residents) tablesSince(now time.Time, seen uint64, choose func(ids.EndpointID) bool) (map[ids.EndpointID]publishedTable, uint64) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	tables := make(map[ids.EndpointID]publishedTable)
+	for id, view := range r.engines {
+		if view.changedAt > seen && choose(id) {
+			tables[id] = view.publish(now)
+		}
+	}
+	return tables, r.changes
+}
+
+func (v *engineView) publish(now time.Time) publishedTable {
+	table := publishedTable{Fence: v.fence, Free: v.free, Models: v.models, Held: make(map[string]publishedAdapter, len(v.held))}
+	for key, held := range v.held {
+		adapter := publishedAdapter{Version: held.Version, Leaving: held.Leaving}
+		if held.Ready.After(now) {
+			adapter.ReadyMs = held.Ready.Sub(now).Milliseconds() + 1
+		}
+		table.Held[key.String()] = adapter
+	}
+	return table
 }
 
 // assume notes an adapter that an owner has just confirmed.
@@ -158,26 +205,29 @@
 	return held, known && !held.Leaving && held.Version >= version
 }
 
-// free returns the free slots of an engine and whether its table is known.
-func (r *residents) free(id ids.EndpointID) (int, bool) {
+// free returns the free slots of an engine, and whether it is known to hold a
+// base model.
+func (r *residents) free(id ids.EndpointID, model string) (int, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	view := r.engines[id]
 	if view == nil {
 		return 0, false
 	}
-	return view.free, true
+	return view.free, slices.Contains(view.models, model)
 }
 
-// use counts a request for an adapter, to be told to the owners.
-func (r *residents) use(key serving.AdapterKey, owners []ids.VMID) {
+// use counts requests for adapters, to be told to some peers.
+func (r *residents) use(uses map[string]float64, peers []ids.VMID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, owner := range owners {
-		if r.uses[owner] == nil {
-			r.uses[owner] = make(map[string]float64)
+	for _, peer := range peers {
+		if r.uses[peer] == nil {
+			r.uses[peer] = make(map[string]float64)
+		}
+		for name, times := range uses {
+			r.uses[peer][name] += times
 		}
-		r.uses[owner][key.String()]++
 	}
 }
 
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -86,7 +86,7 @@
 	n.balancer.Begin(now, e.ID)
 	n.balanceMu.Unlock()
 	p.last = e.ID
-	track := &sendTrack{node: n, endpoint: e, sent: now}
+	track := &sendTrack{node: n, endpoint: e, sent: now, grant: &p.grant}
 	result := n.exchangeAnswer(sendCtx, w, p, e, left, dog, track)
 	if result.shed {
 		p.runs--
@@ -104,6 +104,7 @@
 	endpoint *serving.Endpoint
 	sent     time.Time
 	begun    bool
+	grant    *grant
 }
 
 // first is called with the first byte of the answer's body.
@@ -112,6 +113,7 @@
 		return
 	}
 	t.begun = true
+	t.node.endGrant(t.grant, true)
 	now := time.Now()
 	t.node.balanceMu.Lock()
 	starting := t.node.balancer.Total(now, t.endpoint.ID).Starting
@@ -124,6 +126,7 @@
 }
 
 func (t *sendTrack) end(outcome balance.Outcome, reason string) {
+	t.node.endGrant(t.grant, false)
 	t.node.balanceMu.Lock()
 	ejected := t.node.balancer.End(time.Now(), t.endpoint.ID, t.begun, outcome)
 	t.node.balanceMu.Unlock()
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -49,8 +49,11 @@
 	// Seeds are peer addresses of a few VMs, which may be down or gone.
 	Seeds []ids.VMID
 	// FirstStart is set when the whole system starts for the first time.
-	FirstStart   bool
-	MemoryBytes  int64
+	FirstStart  bool
+	MemoryBytes int64
+	// Size is the VM's processor share in cores. Work that one VM does for
+	// others goes to larger ones first.
+	Size         float64
 	StoreAddress string
 	Bounds       Bounds
 }
--- a/pkg/node/source.go
+++ b/pkg/node/source.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/caps"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/directory"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/mirror"
 )
@@ -33,6 +35,12 @@
 	relayAge  = 1700 * time.Millisecond
 	relayStep = 200 * time.Millisecond
 	relayMax  = 2600 * time.Millisecond
+	// relayLeaf is that age for a leaf, whose proof is older by the exchanges
+	// of its relay, and leafPart its part of the bound on revocation at most.
+	relayLeaf = 3100 * time.Millisecond
+	leafPart  = 0.62
+	// readLook is the longest pause between looks at who reads the store.
+	readLook = 200 * time.Millisecond
 	// readPause bounds the pause after a failed read.
 	readPauseMin = 50 * time.Millisecond
 	readPauseMax = 500 * time.Millisecond
@@ -44,8 +52,8 @@
 	pause := readPauseMin
 	lost := false
 	for ctx.Err() == nil {
-		if !n.shouldRead(time.Now()) {
-			sleep(ctx, readPauseMin)
+		if wait := n.readIn(time.Now()); wait > 0 {
+			sleep(ctx, min(wait, readLook))
 			continue
 		}
 		err := n.readStore(ctx)
@@ -68,22 +76,24 @@
 	}
 }
 
-// shouldRead reports whether this VM reads the store itself now: the first VM
-// by id always does, the others when their peers' proofs grow old.
-func (n *Node) shouldRead(now time.Time) bool {
+// readIn returns in what time this VM reads the store itself unless its proof
+// is renewed: the first relay by id always reads, the others when their peers'
+// proofs grow old, relays before leaves.
+func (n *Node) readIn(now time.Time) time.Duration {
 	age, proven := n.proofAge(now)
 	if !proven {
-		return true
+		return 0
 	}
 	n.membersMu.Lock()
-	defer n.membersMu.Unlock()
-	before := 0
-	for _, m := range n.fleet.Alive(now) {
-		if !m.Leaving && m.ID < n.settings.Self() {
-			before++
-		}
+	plan := n.fleet.Plan(now)
+	n.membersMu.Unlock()
+	switch {
+	case plan.Rank == 0:
+		return 0
+	case plan.Relay:
+		return min(relayAge+time.Duration(plan.Rank-1)*relayStep, relayMax) - age
 	}
-	return before == 0 || age > min(relayAge+time.Duration(before-1)*relayStep, relayMax)
+	return min(relayLeaf, time.Duration(leafPart*float64(n.settings.Bounds.Revocation))) - age
 }
 
 func (n *Node) readStore(ctx context.Context) error {
@@ -165,27 +175,56 @@
 	n.directory.Set(view)
 	n.noteChanges(before, view, from)
 	n.declared.update(time.Now(), view.Versions)
+	n.setLimits(before, view)
 	n.balanceMu.Lock()
 	n.balancer.Keep(view.Endpoints)
 	n.balanceMu.Unlock()
 	n.wake()
 }
 
+// setLimits tells the caps of a new configuration.
+func (n *Node) setLimits(before, after *directory.View) {
+	if after.Config == nil || after.Config == before.Config {
+		return
+	}
+	limits := make(map[ids.CustomerID]caps.Limit, len(after.Config.Customers))
+	for i := range after.Config.Customers {
+		limits[after.Config.Customers[i].ID] = limitOf(&after.Config.Customers[i])
+	}
+	n.capsMu.Lock()
+	defer n.capsMu.Unlock()
+	n.caps.SetLimits(time.Now(), limits)
+}
+
+// maxEndpointLines bounds the lines of one change of the store.
+const maxEndpointLines = 8
+
 // noteChanges logs what a change of the store made the VM believe, and forgets
 // the adapters of engines that are gone or have restarted.
 func (n *Node) noteChanges(before, after *directory.View, from string) {
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
 		n.note("configuration in force", fields{"version": after.Config.Version, "routes": len(after.Config.Routes), "from": from, "through": n.mirror.Through()})
 	}
+	var changed []*serving.Endpoint
 	for id, endpoint := range after.Endpoints {
 		old := before.Endpoints[id]
 		if old != nil && old.Started != endpoint.Started {
 			n.residents.forget(id)
+			n.balanceMu.Lock()
+			n.balancer.Restarted(id)
+			n.balanceMu.Unlock()
 		}
 		if old == nil || old.Leaving != endpoint.Leaving || old.Started != endpoint.Started || old.Address != endpoint.Address {
-			n.note("endpoint registered", fields{"endpoint": id, "service": endpoint.Service, "dataCentre": endpoint.DataCentre, "leaving": endpoint.Leaving, "from": from})
+			changed = append(changed, endpoint)
 		}
 	}
+	if len(changed) > maxEndpointLines || len(before.Endpoints) == 0 {
+		n.note("endpoints registered", fields{"endpoints": len(after.Endpoints), "changed": len(changed), "from": from, "through": n.mirror.Through()})
+		changed = nil
+	}
+	for _, endpoint := range changed {
+		n.note("endpoint registered", fields{"endpoint": endpoint.ID, "service": endpoint.Service, "dataCentre": endpoint.DataCentre, "leaving": endpoint.Leaving, "from": from})
+	}
 	for id := range before.Endpoints {
 		if after.Endpoints[id] == nil {
 			n.residents.forget(id)
