End grants outside the VM's workers

A request that is cut at the end of the grace time tells the owner of its end while the VM already waits for its workers; adding to that group then panics. Found by reading the change; the path needs a stream that outlasts the grace time, and no run showed it.

--- a/pkg/node/begin.go
+++ b/pkg/node/begin.go
@@ -207,11 +207,13 @@
 		n.owner.started(request)
 		return
 	}
-	n.workers.Go(func() {
+	// A request that is cut at the end of the grace time may get here while the
+	// VM waits for its workers, so this is none of them.
+	go func() {
 		if _, err := peers.Call[startedReply](n.ctx, n.peers, ended.owner, methodStarted, startedLimit, request); err != nil {
 			n.countPeerFailure(ended.owner, err)
 		}
-	})
+	}()
 }
 
 func (n *Node) handleBegin(ctx context.Context, _ peers.From, request beginRequest) (beginReply, error) {
