peers: bound messages, and pack large bodies

Cause: the JSON-RPC library decodes the params of each request into generic values and encodes them again, and the result of each reply likewise. A peer could also send a message of any length. Change: a body of 600 bytes or more travels as one compressed string, to peers that have shown that they can read it; messages are lines of at most 32 MiB, read without two of the library's scans. VMs of the version before get plain bodies.

--- a/pkg/transport/peers/link.go
+++ b/pkg/transport/peers/link.go
@@ -33,6 +33,10 @@
 	// conn is the open connection, or nil.
 	conn   *rpcConn
 	closed bool
+
+	// peerUnpacks is set once the peer has sent a packed reply on the current
+	// connection, which shows that it can read packed requests.
+	peerUnpacks atomic.Bool
 }
 
 // rpcConn is an open JSON-RPC connection.
@@ -53,6 +57,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.peerUnpacks.Load() {
+		if params.Body, err = l.node.packer.pack(params.Body); err != nil {
+			return nil, err
+		}
+	}
 	startNanos := time.Now().UnixNano()
 	for range copies - 1 {
 		_, _ = conn.rpc.DispatchCall(ctx, method, params)
@@ -63,7 +72,10 @@
 	l.node.traffic.countRequestSent(method, len(params.Body))
 	l.node.traffic.countReplyReceived(method, len(raw))
 	if err == nil {
-		return raw, nil
+		if isPacked(raw) {
+			l.peerUnpacks.Store(true)
+		}
+		return l.node.packer.unpack(raw)
 	}
 	var peerError *jsonrpc2.Error
 	if eris.As(err, &peerError) {
@@ -116,7 +128,7 @@
 	}
 	setKeepAlive(tcpConn)
 	conn := &rpcConn{}
-	stream := jsonrpc2.NewPlainObjectStream(&meteredConn{Conn: tcpConn, rpcConn: conn, traffic: l.node.traffic, peer: l.peer})
+	stream := newMessageStream(&meteredConn{Conn: tcpConn, rpcConn: conn, traffic: l.node.traffic, peer: l.peer})
 	conn.rpc = jsonrpc2.NewConn(l.node.ctx, stream, jsonrpc2.AsyncHandler(&requestHandler{node: l.node}), discardLog())
 	l.conn = conn
 	go func() {
@@ -132,6 +144,7 @@
 	l.mu.Lock()
 	if l.conn == conn {
 		l.conn = nil
+		l.peerUnpacks.Store(false)
 	}
 	l.mu.Unlock()
 	_ = conn.rpc.Close()
@@ -200,7 +213,15 @@
 		return
 	}
 	s.node.traffic.countRequestReceived(request.Method, len(params.Body))
-	reply, err := handle(ctx, params.Sender, params.Body)
+	body, err := s.node.packer.unpack(params.Body)
+	if err != nil {
+		s.replyError(ctx, conn, request, jsonrpc2.CodeInvalidParams, err.Error())
+		return
+	}
+	reply, err := handle(ctx, params.Sender, body)
+	if err == nil && params.AcceptPacked {
+		reply, err = s.node.packer.pack(reply)
+	}
 	if err != nil {
 		s.replyError(ctx, conn, request, jsonrpc2.CodeInternalError, err.Error())
 		return
--- a/pkg/transport/peers/peers.go
+++ b/pkg/transport/peers/peers.go
@@ -61,6 +61,7 @@
 type Node struct {
 	config  Config
 	traffic *trafficCounter
+	packer  packer
 
 	// mu guards links, inbound and closed.
 	mu      sync.Mutex
@@ -131,7 +132,7 @@
 	}
 	setKeepAlive(conn)
 	n.inbound[conn] = struct{}{}
-	rpc := jsonrpc2.NewConn(n.ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.AsyncHandler(&requestHandler{node: n}), discardLog())
+	rpc := jsonrpc2.NewConn(n.ctx, newMessageStream(conn), jsonrpc2.AsyncHandler(&requestHandler{node: n}), discardLog())
 	n.inboundDone.Go(func() {
 		<-rpc.DisconnectNotify()
 		n.mu.Lock()
@@ -200,7 +201,7 @@
 		<-ctx.Done()
 		return nil, ErrTimeout
 	}
-	return l.call(ctx, method, envelope{Sender: n.config.Self, Body: body}, 1+action.ExtraCopies)
+	return l.call(ctx, method, envelope{Sender: n.config.Self, Body: body, AcceptPacked: true}, 1+action.ExtraCopies)
 }
 
 func setKeepAlive(conn net.Conn) {
--- a/pkg/transport/peers/registry.go
+++ b/pkg/transport/peers/registry.go
@@ -19,8 +19,11 @@
 // envelope is the params member of every request. Each message identifies its
 // sender because a peer may restart between two messages.
 type envelope struct {
-	Sender Sender          `json:"from"`
-	Body   json.RawMessage `json:"body"`
+	Sender Sender `json:"from"`
+	// Body may be packed only if the receiver has shown that it can unpack it.
+	Body json.RawMessage `json:"body"`
+	// AcceptPacked says that the reply may be packed.
+	AcceptPacked bool `json:"acceptPacked,omitempty"`
 }
 
 // Registry maps method names to handlers. All handlers must be registered
