node: relay only records with an effect, one call for each pair of relays

Cause: an engine writes its list of adapters to the store with each load. Every VM fetched each of these changes from its relay (2.2 deltas of 14 KB a second and VM at 195 VMs), decoded it, built a new view and started an exchange at once, which raised the exchanges from 977 to 1,622 a second. Nothing reads these lists. Relays also called each other in both directions. Change: a change that decodes to the same record is neither relayed nor a reason for an exchange; a peer that has the last effective change completes its mirror without a delta. Of two relays the one with the lower id calls, and both send their state; a message that was not asked for proves only the time that it echoes. Tables name the count that they start from, so that those of a restarted owner are not missed. Endpoint.Models, which nothing read, is gone.

--- a/pkg/coordination/fleet/fleet.go
+++ b/pkg/coordination/fleet/fleet.go
@@ -42,6 +42,12 @@
 	// HomeRelayTimeout is how long a leaf's relay may be silent before the leaf
 	// changes to another one.
 	HomeRelayTimeout time.Duration
+	// PassiveCallAfter is how long a VM waits for the call of a relay with a
+	// lower ID before it calls that relay itself.
+	PassiveCallAfter time.Duration
+	// SizeKnownAfter is the uptime from which a VM knows most of the other VMs,
+	// even if all of them have restarted.
+	SizeKnownAfter time.Duration
 	// MaxPlanAge is how long a plan is used while no member is new or has
 	// changed.
 	MaxPlanAge time.Duration
@@ -50,8 +56,8 @@
 // DefaultConfig returns the limits for exchanges every 250 ms between relays
 // and every 350 ms by leaves. A member is suspected after about four lost
 // exchanges, and after a network partition of up to a minute the VMs find
-// each other again without new seeds. A full mesh of 12 VMs makes 528 calls
-// per second; one of 68 VMs made 18,000 and used up their processors.
+// each other again without new seeds. A full mesh of 12 VMs makes 264 calls
+// per second; the number grows with the square of the VMs.
 func DefaultConfig() Config {
 	return Config{
 		SuspectAfter:        time.Second,
@@ -62,6 +68,8 @@
 		RelaysPerDataCentre: 2,
 		MinRelayUptime:      1500 * time.Millisecond,
 		HomeRelayTimeout:    time.Second,
+		PassiveCallAfter:    450 * time.Millisecond,
+		SizeKnownAfter:      3 * time.Second,
 		MaxPlanAge:          100 * time.Millisecond,
 	}
 }
@@ -247,6 +255,48 @@
 	})
 }
 
+// EstimatedSize returns how many VMs the fleet has, this one included, as far as
+// this VM can tell: the members that it knows, silent ones too. A data centre of
+// which no member is known is assumed to have as many VMs as this VM's own. The
+// result is 0 if that is not known: until a VM with seeds has been up for
+// SizeKnownAfter and has heard from another one.
+func (f *Fleet) EstimatedSize(now time.Time, dataCentres []ids.DataCentreID) int {
+	if len(f.seeds) > 0 && now.Sub(f.started) < f.config.SizeKnownAfter {
+		return 0
+	}
+	size := 1
+	heard := len(f.seeds) == 0
+	for _, m := range f.members {
+		heard = heard || m.Boot != ""
+		if !m.Leaving || f.alive(now, m) {
+			size++
+		}
+	}
+	if !heard {
+		return 0
+	}
+	return size + f.UnheardVMs(dataCentres)
+}
+
+// UnheardVMs returns how many VMs are assumed in the data centres of which no
+// member has been heard since this VM started: in each, as many as this VM has
+// heard in its own.
+func (f *Fleet) UnheardVMs(dataCentres []ids.DataCentreID) int {
+	heard := map[ids.DataCentreID]int{f.self.DataCentre: 1}
+	for _, m := range f.members {
+		if m.Boot != "" {
+			heard[m.DataCentre]++
+		}
+	}
+	unheard := 0
+	for _, dc := range dataCentres {
+		if heard[dc] == 0 {
+			unheard += heard[f.self.DataCentre]
+		}
+	}
+	return unheard
+}
+
 // filter returns copies of the members for which include is true, sorted by
 // ID.
 func (f *Fleet) filter(include func(*Member) bool) []Member {
--- a/pkg/coordination/fleet/fleet_test.go
+++ b/pkg/coordination/fleet/fleet_test.go
@@ -55,3 +55,24 @@
 	f.Targets(later.Add(2 * time.Minute))
 	assert.Equal(t, len(f.MemberIDs()), 0)
 }
+
+// Guards against a VM that takes itself, or the part of the fleet that it
+// reaches, for all of it: after a start while the data centres are cut off from
+// each other, the others count with as many VMs as its own.
+func TestFleetSizeCoversDataCentresThatWereNotHeard(t *testing.T) {
+	s := newSimulation(4, 5)
+	dataCentres := []ids.DataCentreID{"dc-0", "dc-1", "dc-2", "dc-3"}
+	s.isolated = "dc-0"
+	vm := s.byID[s.seeds[0]]
+	assert.Equal(t, vm.self.DataCentre, s.isolated)
+	assert.Equal(t, vm.fleet.EstimatedSize(s.now, dataCentres), 0, "known at the start")
+	s.run(16)
+	assert.Equal(t, vm.fleet.UnheardVMs(dataCentres), 15)
+	assert.Assert(t, vm.fleet.EstimatedSize(s.now, dataCentres) >= 20)
+	s.isolated = ""
+	s.run(16)
+	assert.Equal(t, vm.fleet.UnheardVMs(dataCentres), 0)
+	assert.Equal(t, vm.fleet.EstimatedSize(s.now, dataCentres), 20)
+	alone := fleet.New(fleet.DefaultConfig(), s.now, fleet.Announcement{ID: "alone", DataCentre: "dc-0"}, s.seeds)
+	assert.Equal(t, alone.EstimatedSize(s.now.Add(time.Minute), dataCentres), 0, "a VM that has heard nobody knows the size")
+}
--- a/pkg/coordination/fleet/plan.go
+++ b/pkg/coordination/fleet/plan.go
@@ -157,8 +157,9 @@
 	return m != nil && m.OrdersEngines
 }
 
-// Targets returns the members to exchange state with now. It forgets members
-// that have been silent for ForgetAfter.
+// Targets returns the members to call now. An exchange passes state both ways,
+// so of two relays only the one with the lower ID calls, unless it is silent.
+// Targets forgets members that have been silent for ForgetAfter.
 func (f *Fleet) Targets(now time.Time) []ids.VMID {
 	for id, m := range f.members {
 		if now.Sub(m.lastHeardAt()) > f.config.ForgetAfter {
@@ -174,7 +175,9 @@
 	}
 	if plan.Relay {
 		for _, id := range plan.Relays {
-			call(id)
+			if f.self.ID < id || now.Sub(f.members[id].LastDirectAt) > f.config.PassiveCallAfter {
+				call(id)
+			}
 		}
 	} else {
 		call(plan.HomeRelay)
--- a/pkg/coordination/fleet/roster.go
+++ b/pkg/coordination/fleet/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
@@ -42,10 +43,11 @@
 
 // Roster returns the roster to send to a member: the members that are alive,
 // without this VM. Entries are omitted if the receiver already has this
-// version. A leaf sends a roster only to a VM that takes the leaf for a relay
-// by mistake, so that the receiver finds the relays.
+// version. A leaf sends no roster to relays, but to any other VM that calls it:
+// one that takes the leaf for a relay, or that knows only the seeds and takes
+// itself for one.
 func (f *Fleet) Roster(now time.Time, to ids.VMID) Roster {
-	if m := f.members[to]; !f.Plan(now).Relay && (m == nil || m.Relay) {
+	if plan := f.Plan(now); !plan.Relay && slices.Contains(plan.Relays, to) {
 		return Roster{}
 	}
 	roster := f.roster
--- a/pkg/node/adapter_index.go
+++ b/pkg/node/adapter_index.go
@@ -49,7 +49,9 @@
 	changes uint64
 	// peerCursors holds how far this VM has received each peer's tables.
 	peerCursors map[ids.VMID]tableCursor
-	uses        map[ids.VMID]map[string]float64
+	// seenByPeer holds how far each peer has received this VM's tables.
+	seenByPeer map[ids.VMID]uint64
+	uses       map[ids.VMID]map[string]float64
 	// openRequests counts this VM's open requests for each adapter.
 	openRequests map[serving.AdapterKey]int
 }
@@ -63,6 +65,7 @@
 	return &adapterIndex{
 		engines:      make(map[ids.EndpointID]*engineView),
 		peerCursors:  make(map[ids.VMID]tableCursor),
+		seenByPeer:   make(map[ids.VMID]uint64),
 		uses:         make(map[ids.VMID]map[string]float64),
 		openRequests: make(map[serving.AdapterKey]int),
 	}
@@ -81,15 +84,33 @@
 	return r.peerCursors[peer].changes
 }
 
-// applyFromPeer applies the tables that a peer sent in its reply.
-func (r *adapterIndex) applyFromPeer(now time.Time, peer ids.VMID, boot ids.BootID, tables map[ids.EndpointID]publishedTable, changes uint64) {
+// changesSeenBy returns the change count up to which a peer has received this
+// VM's tables.
+func (r *adapterIndex) changesSeenBy(peer ids.VMID) uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.seenByPeer[peer]
+}
+
+func (r *adapterIndex) recordSeenBy(peer ids.VMID, changes uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seenByPeer[peer] = changes
+}
+
+// applyFromPeer applies the tables that a peer sent.
+// They are all that changed at the peer between its change counts since and
+// changes.
+func (r *adapterIndex) applyFromPeer(now time.Time, peer ids.VMID, boot ids.BootID, tables map[ids.EndpointID]publishedTable, since, changes uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.peerCursors[peer]
 	if known.boot != boot {
 		known = tableCursor{boot: boot}
 	}
-	if len(tables) > 0 || changes > 0 {
+	// A message that leaves out changes which this VM has not received, since it
+	// was built for a count of the peer's previous run, does not advance.
+	if since <= known.changes {
 		known.changes = max(known.changes, changes)
 	}
 	r.peerCursors[peer] = known
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +33,12 @@
 	stallThreshold = 700 * time.Millisecond
 )
 
+// restartUncertainty is how long after a restart the VMs of a data centre that
+// was not heard count as silent: their process may run on behind a partition, and
+// admit its share of the customers' rates. A data centre without VMs costs the
+// customers its share for so long.
+const restartUncertainty = time.Minute
+
 // relayLoadTolerance is the load difference below which endpoints are
 // considered equally loaded while loads are passed on by relays. About that
 // many requests reach an endpoint in the meantime.
@@ -55,9 +62,17 @@
 	RosterSeen uint64       `json:"rosterSeen,omitempty"`
 	// Through is the store revision that the VM has applied. ProofAgeMs is the
 	// age of the proof that it is current; negative if there is none.
-	Through    ids.Revision      `json:"through"`
-	ProofAgeMs int64             `json:"proof"`
-	Claims     []authority.Claim `json:"claims,omitempty"`
+	Through ids.Revision `json:"through"`
+	// LastEffect is the highest revision of a change that had an effect. A
+	// receiver that has applied it needs no delta to reach Through.
+	LastEffect ids.Revision `json:"effect"`
+	ProofAgeMs int64        `json:"proof"`
+	// SentMs is the sender's uptime when it sent the message. Echo returns that
+	// of the receiver's last message, so that the receiver knows since when this
+	// message may have been on its way.
+	SentMs int64             `json:"sent,omitempty"`
+	Echo   *messageSendTime  `json:"echo,omitempty"`
+	Claims []authority.Claim `json:"claims,omitempty"`
 	// RelayedClaims are the claims of the other VMs. A relay sends them to its
 	// leaves.
 	RelayedClaims []authority.HolderClaims `json:"holdings,omitempty"`
@@ -74,20 +89,26 @@
 	ActiveAdapters []string                          `json:"active,omitempty"`
 	TablesSeen     uint64                            `json:"seen,omitempty"`
 	Tables         map[ids.EndpointID]publishedTable `json:"tables,omitempty"`
-	// TableChanges is the sender's count of table changes since its start.
+	// Tables holds the tables that changed after the sender's change count
+	// TablesSince and up to TableChanges, which counts from the sender's start.
+	TablesSince  uint64 `json:"tablesSince,omitempty"`
 	TableChanges uint64 `json:"tablesAt,omitempty"`
 }
 
+// messageSendTime identifies a message by the run of its sender's process and by
+// its uptime.
+type messageSendTime struct {
+	Boot   ids.BootID `json:"boot"`
+	SentMs int64      `json:"sent"`
+}
+
 // messageScope selects the state that a message carries besides the
 // announcement, the claims and the proof.
 type messageScope int
 
 const (
-	// scopeBrief is for calls between the relays of a larger fleet, where the
-	// state is sent only in the reply.
-	scopeBrief messageScope = iota
 	// scopeSubtree covers the VM and its leaves.
-	scopeSubtree
+	scopeSubtree messageScope = iota
 	// scopeFleet covers all VMs, for messages from a relay to its leaf.
 	scopeFleet
 )
@@ -144,6 +165,7 @@
 	}
 	n.membersMu.Unlock()
 	n.peers.SetPeers(addresses)
+	n.lastSent.forgetOthers(addresses)
 	for _, id := range targets {
 		if n.peerCalls.tryBegin(id) {
 			go func() {
@@ -156,14 +178,10 @@
 
 func (n *Node) exchangeWithPeer(ctx context.Context, id ids.VMID) {
 	asked := time.Now()
-	n.membersMu.Lock()
-	plan := n.fleet.Plan(asked)
-	n.membersMu.Unlock()
-	sent := scopeSubtree
-	if plan.Relay && !plan.Mesh {
-		sent = scopeBrief
-	}
-	reply, err := peers.Call[stateMessage](ctx, n.peers, id, methodExchange, exchangeTimeout, n.buildMessage(asked, id, sent))
+	message := n.buildMessage(asked, id, scopeSubtree)
+	message.TablesSince = n.adapterIndex.changesSeenBy(id)
+	message.Tables, message.TableChanges = n.adapterIndex.tablesSince(asked, message.TablesSince, n.engineOwner.ownedEngines())
+	reply, err := peers.Call[stateMessage](ctx, n.peers, id, methodExchange, exchangeTimeout, message)
 	if err != nil {
 		n.countPeerFailure(id, err)
 		return
@@ -174,9 +192,10 @@
 }
 
 // catchUpFromPeer fetches the store changes that a peer has and this VM lacks,
-// and adopts the peer's proof that the configuration is current.
+// and adopts the peer's proof that the configuration is current. asked is a time
+// before the peer sent its message.
 func (n *Node) catchUpFromPeer(ctx context.Context, asked time.Time, id ids.VMID, reply stateMessage) {
-	if reply.Through > n.mirror.CompleteThrough() {
+	if reply.Through > n.mirror.CompleteThrough() && !n.mirror.SkipThrough(reply.Through, reply.LastEffect) {
 		delta, err := peers.Call[mirror.Delta](ctx, n.peers, id, methodDelta, deltaTimeout, deltaRequest{After: n.mirror.CompleteThrough()})
 		if err != nil {
 			n.countPeerFailure(id, err)
@@ -194,6 +213,10 @@
 func (n *Node) handleExchange(_ context.Context, _ peers.Sender, request stateMessage) (stateMessage, error) {
 	now := time.Now()
 	n.applyFromPeer(now, request)
+	n.catchUpFromRequest(request)
+	if request.Relay && request.Loads == nil {
+		n.callOlderVM(request.ID)
+	}
 	n.membersMu.Lock()
 	plan := n.fleet.Plan(now)
 	n.membersMu.Unlock()
@@ -202,19 +225,46 @@
 		detail, include = scopeFleet, func(ids.EndpointID) bool { return true }
 	}
 	reply := n.buildMessage(now, request.ID, detail)
+	reply.TablesSince = request.TablesSeen
 	reply.Tables, reply.TableChanges = n.adapterIndex.tablesSince(now, request.TablesSeen, include)
 	return reply, nil
 }
 
+// catchUpFromRequest is catchUpFromPeer for a message that this VM did not ask
+// for. The message may have been on its way for long; only what it echoes shows
+// that it was sent after an earlier message of this VM.
+func (n *Node) catchUpFromRequest(request stateMessage) {
+	if request.Echo == nil || request.Echo.Boot != n.boot || !n.peerCalls.tryBegin(request.ID) {
+		return
+	}
+	asked := n.startedAt.Add(time.Duration(request.Echo.SentMs) * time.Millisecond)
+	go func() {
+		defer n.peerCalls.end(request.ID)
+		n.catchUpFromPeer(n.ctx, asked, request.ID, request)
+	}()
+}
+
+// callOlderVM calls a relay of an older version, which sends its loads and
+// totals only in replies.
+func (n *Node) callOlderVM(id ids.VMID) {
+	if !n.peerCalls.tryBegin(id) {
+		return
+	}
+	go func() {
+		defer n.peerCalls.end(id)
+		n.exchangeWithPeer(n.ctx, id)
+	}()
+}
+
 func (n *Node) handleDelta(_ context.Context, _ peers.Sender, request deltaRequest) (mirror.Delta, error) {
 	return n.mirror.Since(request.After), nil
 }
 
 // buildMessage returns the VM's state as a message for a peer.
 func (n *Node) buildMessage(now time.Time, to ids.VMID, scope messageScope) stateMessage {
-	s := stateMessage{ProofAgeMs: -1, TablesSeen: n.adapterIndex.seenChanges(to)}
+	s := stateMessage{ProofAgeMs: -1, TablesSeen: n.adapterIndex.seenChanges(to), SentMs: now.Sub(n.startedAt).Milliseconds(), Echo: n.lastSent.get(to)}
 	n.proofMu.Lock()
-	s.Through = n.mirror.CompleteThrough()
+	s.Through, s.LastEffect = n.mirror.CompleteThrough(), n.mirror.LastEffect()
 	if age, proven := n.proof.Age(now); proven {
 		s.ProofAgeMs = age.Milliseconds() + 1
 	}
@@ -229,9 +279,6 @@
 	}
 	n.membersMu.Unlock()
 	s.AdapterUses = n.adapterIndex.takeUses(to)
-	if scope == scopeBrief {
-		return s
-	}
 	n.addUsageAndLoads(now, &s, to, scope, leaves)
 	if orders || !s.Relay {
 		s.ActiveAdapters = n.engineOwner.activeNames(now, func(vm ids.VMID) bool { return leaves[vm] && vm != to })
@@ -262,6 +309,7 @@
 
 // applyFromPeer applies the state that a peer sent.
 func (n *Node) applyFromPeer(now time.Time, s stateMessage) {
+	n.lastSent.record(s.ID, messageSendTime{Boot: s.Boot, SentMs: s.SentMs})
 	n.membersMu.Lock()
 	restarted := n.fleet.ApplyAnnouncement(now, s.Announcement)
 	n.fleet.ApplyRoster(now, s.Announcement, s.Roster, s.RosterSeen)
@@ -290,7 +338,8 @@
 		n.adapterIndex.addUses(s.AdapterUses, owners)
 	}
 	n.engineOwner.setActiveAdapters(now, s.ID, s.ActiveAdapters)
-	n.adapterIndex.applyFromPeer(now, s.ID, s.Boot, s.Tables, s.TableChanges)
+	n.adapterIndex.applyFromPeer(now, s.ID, s.Boot, s.Tables, s.TablesSince, s.TableChanges)
+	n.adapterIndex.recordSeenBy(s.ID, s.TablesSeen)
 }
 
 // updateClaims updates the claims and everything that depends on the number of
@@ -309,7 +358,11 @@
 	}
 	claims := n.authority.Claims()
 	n.fleet.SetSelf(n.draining.Load(), len(claims) > 0)
-	plan := n.fleet.Plan(now)
+	plan, size := n.fleet.Plan(now), n.fleet.EstimatedSize(now, n.settings.DataCentres)
+	unheard := 0
+	if !n.settings.FirstStart && now.Sub(n.startedAt) < restartUncertainty {
+		unheard = n.fleet.UnheardVMs(n.settings.DataCentres)
+	}
 	n.membersMu.Unlock()
 	if len(claims) != before {
 		n.logInfo("claims changed", fields{"claims": claims, "alive": len(alive), "silent": len(silent)})
@@ -326,9 +379,43 @@
 		n.logInfo("exchange role changed", fields{"relay": plan.Relay, "home": plan.HomeRelay, "alive": len(alive), "silent": len(silent)})
 	}
 	n.capsMu.Lock()
-	n.caps.SetReachable(len(alive)+1, len(silent))
+	n.caps.SetReachable(len(alive)+1, len(silent)+unheard)
 	n.capsMu.Unlock()
-	n.aliveVMs.Store(int64(len(alive) + 1))
+	n.fleetSize.Store(int64(size))
+}
+
+// lastSentTimes holds the send time of the last message of each peer.
+type lastSentTimes struct {
+	mu     sync.Mutex
+	byPeer map[ids.VMID]messageSendTime
+}
+
+// record keeps the later of two send times of one run, since messages may
+// overtake each other.
+func (l *lastSentTimes) record(peer ids.VMID, sent messageSendTime) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if last := l.byPeer[peer]; last.Boot != sent.Boot || last.SentMs < sent.SentMs {
+		l.byPeer[peer] = sent
+	}
+}
+
+// forgetOthers removes the peers that are not among the given ones.
+func (l *lastSentTimes) forgetOthers(peers map[ids.VMID]string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.byPeer, func(id ids.VMID, _ messageSendTime) bool { _, known := peers[id]; return !known })
+}
+
+// get returns nil if the peer has not sent a message yet.
+func (l *lastSentTimes) get(peer ids.VMID) *messageSendTime {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, known := l.byPeer[peer]
+	if !known {
+		return nil
+	}
+	return &last
 }
 
 // peerCallCounter limits the number of concurrent exchange calls to each peer.
@@ -354,5 +441,7 @@
 func (f *peerCallCounter) end(id ids.VMID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.open[id]--
+	if f.open[id]--; f.open[id] == 0 {
+		delete(f.open, id)
+	}
 }
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -42,9 +42,10 @@
 // Records decodes the items of the store. All calls are made under one lock:
 // Apply for each changed item, then the other methods to get the result.
 type Records interface {
-	// Apply decodes one changed item. If it returns an error, the last valid
-	// state of the item remains in effect.
-	Apply(item mirror.Item) error
+	// Apply decodes one changed item and reports whether that changed any
+	// record. A configuration or version that cannot be decoded leaves the last
+	// valid one in effect; an endpoint that cannot be decoded is removed.
+	Apply(item mirror.Item) (changed bool, err error)
 	// Config returns the current configuration, or nil if there is none yet.
 	Config() *serving.Config
 	Endpoints() map[ids.EndpointID]*serving.Endpoint
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -41,10 +41,13 @@
 	// confirmDelayAfterStall is how long a VM whose process was stalled listens
 	// to its peers before it sends orders again: two exchanges.
 	confirmDelayAfterStall = 600 * time.Millisecond
-	// retryBudgetShare is the share of the operators' limit on repeated sends
-	// that is used. The rest is a margin, because each VM counts only its own
-	// repeats.
-	retryBudgetShare = 0.8
+	// retryBudgetShare and retryReserveShare are the shares of the operators'
+	// limit on repeated sends that are used: of what requests earn, and of the
+	// reserve. The rest is a margin, because each VM counts only its own repeats:
+	// a window may see the reserve before and after a restart of all VMs, and the
+	// half of one that is earned meanwhile.
+	retryBudgetShare  = 0.8
+	retryReserveShare = 0.35
 )
 
 // Options holds the dependencies of a Node and its readiness and log options.
@@ -109,6 +112,7 @@
 	firstByteEstimator *firstByteEstimator
 	peers              *peers.Node
 	peerCalls          peerCallCounter
+	lastSent           lastSentTimes
 	// unresponsiveOwners holds the engine owners that recently did not answer a
 	// prefill request.
 	unresponsiveOwners unresponsiveOwners
@@ -121,7 +125,9 @@
 	draining     atomic.Bool
 	openRequests atomic.Int64
 	pickSalt     atomic.Uint64
-	aliveVMs     atomic.Int64
+	// fleetSize is the estimated number of VMs, this one included; 0 while it is
+	// not known.
+	fleetSize atomic.Int64
 	// lastStallEnd is when the process last resumed after a stall, in Unix
 	// nanoseconds.
 	lastStallEnd atomic.Int64
@@ -154,11 +160,11 @@
 		copies:             &copyThrottle{requests: make(map[serving.AdapterKey]requestCount), interval: copyInterval, minRequests: copyMinRequests},
 		firstByteEstimator: newFirstByteEstimator(),
 		peerCalls:          peerCallCounter{open: make(map[ids.VMID]int)},
+		lastSent:           lastSentTimes{byPeer: make(map[ids.VMID]messageSendTime)},
 		wakeExchange:       make(chan struct{}, 1),
 	}
 	self := fleet.Announcement{ID: settings.Self(), DataCentre: settings.DataCentre, Boot: n.boot, Cores: settings.Cores}
 	n.fleet = fleet.New(fleet.DefaultConfig(), now, self, settings.Seeds)
-	n.aliveVMs.Store(1)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
 	n.engineOwner = newOwner(n)
@@ -367,7 +373,10 @@
 // retryBudgetsMu.
 func (n *Node) retryBudget(service string, now time.Time) *retrybudget.Budget {
 	bounds := n.settings.Bounds
-	reserve := retryBudgetShare * bounds.RetryReserve / float64(n.aliveVMs.Load())
+	reserve := 0.0
+	if size := n.fleetSize.Load(); size > 0 {
+		reserve = retryReserveShare * bounds.RetryReserve / float64(size)
+	}
 	b := n.retryBudgets[service]
 	if b == nil {
 		b = retrybudget.New(retrybudget.Config{Ratio: retryBudgetShare * bounds.RetryRatio, Reserve: reserve, Window: bounds.RetryWindow}, now)
--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -166,18 +166,25 @@
 	n.applyItems(n.mirror.Apply(delta), from)
 }
 
-// applyItems decodes changed items and publishes the resulting view. The caller
-// holds recordsMu.
+// applyItems decodes changed items and publishes the resulting view. Items
+// without effect, such as a worker's list of adapters, which its owner knows
+// better, are not passed on to other VMs. The caller holds recordsMu.
 func (n *Node) applyItems(changed []mirror.Item, from string) {
-	if len(changed) == 0 {
-		return
-	}
-	before := n.directory.View()
+	effect := false
 	for _, item := range changed {
-		if err := n.records.Apply(item); err != nil {
+		itemChanged, err := n.records.Apply(item)
+		switch {
+		case err != nil:
 			n.logWarning("item ignored: it cannot be decoded", err, fields{"key": item.Key, "revision": item.Revision, "from": from})
+		case !itemChanged:
+			n.mirror.MarkWithoutEffect(item.Key, item.Revision)
 		}
+		effect = effect || itemChanged
 	}
+	if !effect {
+		return
+	}
+	before := n.directory.View()
 	view := directory.NewView(n.records.Config(), n.records.Endpoints(), n.records.Versions())
 	n.directory.Set(view)
 	n.logChanges(before, view, from)
--- a/pkg/protocol/serving/serving.go
+++ b/pkg/protocol/serving/serving.go
@@ -171,8 +171,6 @@
 	// Started is the start time of the endpoint's process in Unix milliseconds,
 	// or 0 if unknown. It reveals a restart under the same id.
 	Started int64
-	// Models is empty for plain services.
-	Models []HeldModel
 }
 
 // AdapterKey identifies an adapter of a base model.
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -18,6 +18,10 @@
 	Value    []byte       `json:"v,omitempty"`
 	Revision ids.Revision `json:"r"`
 	Deleted  bool         `json:"d,omitempty"`
+
+	// effectiveAt is the revision of the last change that had an effect, and
+	// previousEffect that of the one before the change at Revision.
+	effectiveAt, previousEffect ids.Revision
 }
 
 // Delta holds every change after some revision, up to and including Through.
@@ -33,6 +37,8 @@
 	items map[string]Item
 	// completeThrough is the revision up to which every change is applied.
 	completeThrough ids.Revision
+	// lastEffect is the highest revision of a change that had an effect.
+	lastEffect ids.Revision
 }
 
 // New returns an empty mirror, complete through revision 0.
@@ -46,6 +52,53 @@
 	return m.completeThrough
 }
 
+// LastEffect returns the highest revision of a change that had an effect. A
+// mirror that is complete through it differs from this one only in changes
+// without effect.
+func (m *Mirror) LastEffect() ids.Revision {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.lastEffect
+}
+
+// SkipThrough completes the mirror through a revision of another mirror without
+// a delta, and reports whether that was possible: whether this mirror already
+// has the other one's last change that had an effect, which must not be 0.
+func (m *Mirror) SkipThrough(through, lastEffect ids.Revision) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if lastEffect == 0 || m.completeThrough < lastEffect {
+		return false
+	}
+	m.completeThrough = max(m.completeThrough, through)
+	return true
+}
+
+// MarkWithoutEffect records that the change of an item, which Apply or Replace
+// has just returned, decodes to the same record as the item's previous value.
+// Other mirrors don't need such a change, so Since leaves it out.
+func (m *Mirror) MarkWithoutEffect(key string, revision ids.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	item, known := m.items[key]
+	if !known || item.Revision != revision {
+		return
+	}
+	item.effectiveAt = item.previousEffect
+	m.items[key] = item
+	m.lastEffect = 0
+	for _, item := range m.items {
+		m.lastEffect = max(m.lastEffect, item.effectiveAt)
+	}
+}
+
+// set stores an item as a change that has an effect. The caller holds m.mu.
+func (m *Mirror) set(item Item) {
+	item.effectiveAt, item.previousEffect = item.Revision, m.items[item.Key].effectiveAt
+	m.items[item.Key] = item
+	m.lastEffect = max(m.lastEffect, item.Revision)
+}
+
 // Apply merges a delta that starts at or below the revision through which the
 // mirror is complete. It returns the items that changed the mirror.
 func (m *Mirror) Apply(delta Delta) []Item {
@@ -72,7 +125,7 @@
 			continue
 		}
 		tombstone := Item{Key: key, Revision: revision, Deleted: true}
-		m.items[key] = tombstone
+		m.set(tombstone)
 		changed = append(changed, tombstone)
 	}
 	m.completeThrough = max(m.completeThrough, revision)
@@ -93,21 +146,21 @@
 		if current, known := m.items[item.Key]; known && current.Revision >= item.Revision {
 			continue
 		}
-		m.items[item.Key] = item
+		m.set(item)
 		changed = append(changed, item)
 	}
 	return changed
 }
 
-// Since returns the changes after a revision, in order of revision. The mirror
-// keeps deletions for the life of the process, so the delta is complete from
-// any revision.
+// Since returns the changes after a revision that had an effect, in order of
+// revision. The mirror keeps deletions for the life of the process, so the delta
+// is complete from any revision.
 func (m *Mirror) Since(after ids.Revision) Delta {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	delta := Delta{Through: m.completeThrough}
 	for _, item := range m.items {
-		if item.Revision > after {
+		if item.effectiveAt > after {
 			delta.Items = append(delta.Items, item)
 		}
 	}
--- a/pkg/state/mirror/mirror_test.go
+++ b/pkg/state/mirror/mirror_test.go
@@ -90,3 +90,37 @@
 	}
 	return items
 }
+
+// Guards against a copy that misses a change because later changes of the same
+// key without effect hide it, and against a delta that repeats changes without
+// effect, such as those of a worker's list of adapters.
+func TestDeltaLeavesOutChangesWithoutEffect(t *testing.T) {
+	a, b := mirror.New(), mirror.New()
+	put := func(revision ids.Revision, value string, effect bool) {
+		a.Apply(mirror.Delta{Items: []mirror.Item{{Key: "x", Value: []byte(value), Revision: revision}}, Through: revision})
+		if !effect {
+			a.MarkWithoutEffect("x", revision)
+		}
+	}
+	put(1, "one", true)
+	b.Apply(a.Since(0))
+	put(2, "one, again", false)
+	put(3, "one, a third time", false)
+	assert.Equal(t, len(a.Since(1).Items), 0)
+	assert.Equal(t, a.LastEffect(), ids.Revision(1))
+	assert.Assert(t, b.SkipThrough(a.CompleteThrough(), a.LastEffect()))
+	assert.Equal(t, b.CompleteThrough(), ids.Revision(3))
+
+	put(4, "two", true)
+	put(5, "two, again", false)
+	assert.Assert(t, !b.SkipThrough(a.CompleteThrough(), a.LastEffect()), "the change at revision 4 is skipped")
+	assert.Equal(t, b.CompleteThrough(), ids.Revision(3))
+	delta := a.Since(b.CompleteThrough())
+	assert.Equal(t, len(delta.Items), 1)
+	b.Apply(delta)
+	assert.Equal(t, string(b.WithPrefix("x")[0].Value), "two, again")
+	a.Replace(nil, 9)
+	assert.Assert(t, !b.SkipThrough(a.CompleteThrough(), a.LastEffect()), "the removal at revision 9 is skipped")
+	b.Apply(a.Since(b.CompleteThrough()))
+	assert.Equal(t, len(b.WithPrefix("x")), 0)
+}
