Retries after a restart of all VMs stay within the fleet's limit

Cause: a VM that had just started took itself for the whole fleet and spent all of the reserve, and a request that every endpoint shed went to and fro between two of them every 2 ms. A request that each endpoint of a service has shed is refused with the time to come back.

--- a/pkg/coordination/retrybudget/retrybudget.go
+++ b/pkg/coordination/retrybudget/retrybudget.go
@@ -2,6 +2,10 @@
 // that retries do not add load to a service that is already failing. The
 // allowance grows with the number of requests and slowly with time. The node
 // calls it before each retry.
+//
+// A budget starts with a single retry and gets its share of the reserve once the
+// number of VMs is known. Otherwise each of many VMs that restart together would
+// get the whole reserve.
 package retrybudget
 
 import "time"
@@ -10,8 +14,9 @@
 type Config struct {
 	// Ratio is the number of retries that each request adds to the budget.
 	Ratio float64
-	// Reserve is the number of retries allowed in Window when there are no
-	// requests. It is also the largest number of retries the budget can hold.
+	// Reserve is the largest number of retries that the budget holds, but for
+	// the one that every budget can hold. Half of it is earned in a Window
+	// without requests.
 	Reserve float64
 	Window  time.Duration
 }
@@ -24,21 +29,32 @@
 	updatedAt time.Time
 }
 
-// New returns a budget filled to its reserve.
+// New returns a full budget. A reserve of 0 stands for one that is not known
+// yet.
 func New(config Config, now time.Time) *Budget {
-	return &Budget{config: config, retries: config.Reserve, updatedAt: now}
+	b := &Budget{config: config, updatedAt: now}
+	b.retries = b.capacity()
+	return b
 }
 
-// SetReserve sets the reserve, for example after the number of VMs changed.
+// SetReserve sets the reserve, for example after the number of VMs changed. A
+// reserve that was not known before is filled at once.
 func (b *Budget) SetReserve(reserve float64) {
+	if b.config.Reserve == 0 {
+		b.retries = max(b.retries, reserve)
+	}
 	b.config.Reserve = reserve
-	b.retries = min(b.retries, reserve)
+	b.retries = min(b.retries, b.capacity())
 }
 
+// capacity returns the largest number of retries that the budget holds. It is at
+// least one, so that VMs with a small share of the reserve can retry at all.
+func (b *Budget) capacity() float64 { return max(b.config.Reserve, 1) }
+
 // AddRequest adds the retries that one request earns.
 func (b *Budget) AddRequest(now time.Time) {
 	b.refill(now)
-	b.retries = min(b.retries+b.config.Ratio, b.config.Reserve)
+	b.retries = min(b.retries+b.config.Ratio, b.capacity())
 }
 
 // TakeRetry spends one retry and reports whether the budget allowed it.
@@ -56,6 +72,6 @@
 // plus half of a new one.
 func (b *Budget) refill(now time.Time) {
 	rate := b.config.Reserve / (2 * b.config.Window.Seconds())
-	b.retries = min(b.retries+now.Sub(b.updatedAt).Seconds()*rate, b.config.Reserve)
+	b.retries = min(b.retries+now.Sub(b.updatedAt).Seconds()*rate, b.capacity())
 	b.updatedAt = now
 }
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -42,6 +42,8 @@
 
 	// excluded holds the endpoints to which this request is not sent again.
 	excluded map[ids.EndpointID]bool
+	// shedByEndpoint is set once an endpoint shed the request for lack of room.
+	shedByEndpoint bool
 	// deniedBy is the engine that last denied having the adapter; nil once its
 	// owner was asked about it.
 	deniedBy *serving.Endpoint
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -103,6 +103,10 @@
 	now := time.Now()
 	endpoints := n.eligible(n.directory.View(), p)
 	if len(endpoints) == 0 && len(p.excluded) > 0 {
+		if p.shedByEndpoint {
+			// Each endpoint was asked; another round would only add load.
+			return nil, refuseBusy(retryNoEndpoint, "all endpoints shed the request")
+		}
 		clear(p.excluded)
 		endpoints = n.eligible(n.directory.View(), p)
 	}
@@ -132,6 +136,7 @@
 		return
 	}
 	p.excluded[endpoint.ID] = true
+	p.shedByEndpoint = true
 }
 
 // recentLoadAge is the age of a load up to which a shed request means that the
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -1,14 +1,18 @@
 package node
 
 import (
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/directory"
+	"github.com/wagtailspoke/wagtailspoke/pkg/state/mirror"
 )
 
 // Guards against copies that use up the weight store's bandwidth needed for
@@ -103,3 +107,70 @@
 		assert.Assert(t, count <= bound, "%d loads in the window from %v, bound %d", count, first.Sub(start), bound)
 	}
 }
+
+// Guards against adapters that stay unknown after their owner restarted: its
+// first message may leave out what this VM knew from the owner's previous run.
+func TestTablesOfARestartedOwnerAreAskedForAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newAdapterIndex()
+	table := func(free int) map[ids.EndpointID]publishedTable {
+		return map[ids.EndpointID]publishedTable{"e": {Fence: 1, FreeSlots: free, Models: []string{"base"}}}
+	}
+	r.applyFromPeer(now, "owner", "first run", table(3), 0, 500)
+	assert.Equal(t, r.seenChanges("owner"), uint64(500))
+	r.applyFromPeer(now, "owner", "second run", nil, 500, 4)
+	assert.Equal(t, r.seenChanges("owner"), uint64(0), "changes 1 to 4 of the second run were not received")
+	r.applyFromPeer(now, "owner", "second run", table(2), 0, 5)
+	assert.Equal(t, r.seenChanges("owner"), uint64(5))
+	free, _ := r.freeSlots("e", "base")
+	assert.Equal(t, free, 2)
+}
+
+// Guards against a proof that is taken for younger than it is: a message that
+// was held up on a silent link proves nothing about the time of its arrival.
+func TestHeldUpMessageProvesOnlyTheTimeItEchoes(t *testing.T) {
+	n := New(Settings{IP: "127.0.0.1", ListenAddresses: ListenAddresses{Peers: "127.0.0.1:1"}}, Options{LogOutput: io.Discard})
+	defer n.stop()
+	n.startedAt = time.Now().Add(-10 * time.Second)
+	n.mirror.Apply(mirror.Delta{Through: 3})
+	request := stateMessage{Through: 3, ProofAgeMs: 100}
+	request.ID, request.Boot = "127.0.0.1:2", "peer"
+	n.catchUpFromRequest(request)
+	request.Echo = &messageSendTime{Boot: "an earlier run", SentMs: 9900}
+	n.catchUpFromRequest(request)
+	time.Sleep(20 * time.Millisecond)
+	_, proven := n.proofAge(time.Now())
+	assert.Assert(t, !proven)
+
+	request.Echo = &messageSendTime{Boot: n.boot, SentMs: 6000}
+	n.catchUpFromRequest(request)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, proven := n.proofAge(time.Now()); !proven {
+			return poll.Continue("no proof")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	age, _ := n.proofAge(time.Now())
+	assert.Assert(t, age >= 4100*time.Millisecond, "%v", age)
+}
+
+// Pattern: every endpoint of a service is full. Guards against a request that
+// goes to and fro between endpoints which have just shed it: each is asked once,
+// then the caller learns when to come back.
+func TestRequestThatAllEndpointsShedIsRefused(t *testing.T) {
+	n := New(Settings{IP: "127.0.0.1", ListenAddresses: ListenAddresses{Peers: "127.0.0.1:1"}}, Options{LogOutput: io.Discard})
+	defer n.stop()
+	endpoints := map[ids.EndpointID]*serving.Endpoint{"a": {ID: "a", Service: "app"}, "b": {ID: "b", Service: "app"}}
+	service := &serving.Service{Name: "app"}
+	n.directory.Set(directory.NewView(&serving.Config{Services: map[string]*serving.Service{"app": service}}, endpoints, nil))
+	p := &requestState{request: &serving.Request{Service: service}, excluded: make(map[ids.EndpointID]bool)}
+	for range endpoints {
+		e, refused := n.chooseEndpoint(t.Context(), p)
+		assert.Assert(t, refused == nil && !p.excluded[e.ID])
+		n.prepareAfterShed(t.Context(), p, e, sendResult{shed: true})
+	}
+	_, refused := n.chooseEndpoint(t.Context(), p)
+	assert.Assert(t, refused != nil, "the request is sent to an endpoint that shed it")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	assert.Assert(t, refused.retryAfter > 0)
+}
