node: bound what endpoints send, and drop connections with a foreign answer

A stream without the end of an event was held back, or passed on, until the time limit (6.4 s and 3.0 s in the test); answers read completely were bounded one by one only; a byte now and then counted as progress, so that a stalled stream was not resumed; an answer without a body that belonged to another request left its connection in use, and the answer that was still to come on it met the next request. Change: an event is at most 256 KiB and a head 64 KiB; the answers being read take a tenth of the VM's memory together; only the end of an event is progress, within 1 s or three times the objective for pauses; a connection with a foreign answer is closed.

--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -24,9 +24,12 @@
 	silenceTimeoutFactor = 4
 	minSilenceTimeout    = 300 * time.Millisecond
 	silenceTimeoutShare  = 0.45
-	// streamSilenceLimit is how long a resumable stream may send nothing before
-	// it is resumed at another endpoint. Callers give up after two seconds.
-	streamSilenceLimit = time.Second
+	// streamSilenceLimit is how long a resumable stream may complete no event
+	// before it is resumed at another endpoint, or pauseToleranceFactor times the
+	// objective for its pauses if that is longer. Callers give up after two
+	// seconds, or eight such pauses.
+	streamSilenceLimit   = time.Second
+	pauseToleranceFactor = 3
 )
 
 // ServeHTTP implements http.Handler for callers' requests.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -110,6 +110,7 @@
 	ensureCalls        singleflight.Group
 	copies             *copyThrottle
 	firstByteEstimator *firstByteEstimator
+	answerMemory       *answerMemory
 	peers              *peers.Node
 	peerCalls          peerCallCounter
 	lastSent           lastSentTimes
@@ -159,6 +160,7 @@
 		adapterIndex:       newAdapterIndex(),
 		copies:             &copyThrottle{requests: make(map[serving.AdapterKey]requestCount), interval: copyInterval, minRequests: copyMinRequests},
 		firstByteEstimator: newFirstByteEstimator(),
+		answerMemory:       newAnswerMemory(settings.MemoryBytes),
 		peerCalls:          peerCallCounter{open: make(map[ids.VMID]int)},
 		lastSent:           lastSentTimes{byPeer: make(map[ids.VMID]messageSendTime)},
 		wakeExchange:       make(chan struct{}, 1),
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,11 +64,16 @@
 // continues after an event of which the caller got only a part.
 func TestOnlyWholeEventsArePassedOn(t *testing.T) {
 	b := eventBuffer{wholeEvents: true}
-	assert.Equal(t, string(b.add([]byte("id: 1\ndata: a\n\nid: 2\nda"))), "id: 1\ndata: a\n\n")
+	add := func(data string) string {
+		ready, _, err := b.add([]byte(data))
+		assert.NilError(t, err)
+		return string(ready)
+	}
+	assert.Equal(t, add("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n")
 	assert.Equal(t, b.lastID("0"), "1")
-	assert.Equal(t, len(b.add([]byte("ta: b\n"))), 0)
+	assert.Equal(t, add("ta: b\n"), "")
 	assert.Equal(t, b.lastID("0"), "1")
-	assert.Equal(t, string(b.add([]byte("\n"))), "id: 2\ndata: b\n\n")
+	assert.Equal(t, add("\n"), "id: 2\ndata: b\n\n")
 	assert.Equal(t, b.lastID("0"), "2")
 }
 
@@ -174,3 +181,70 @@
 	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
 	assert.Assert(t, refused.retryAfter > 0)
 }
+
+// Guards against a stalled stream that counts as alive since it sends a byte now
+// and then: only the end of an event is progress, however it is cut into reads.
+func TestOnlyTheEndOfAnEventIsProgress(t *testing.T) {
+	for _, wholeEvents := range []bool{false, true} {
+		b := eventBuffer{wholeEvents: wholeEvents}
+		var got strings.Builder
+		var progress []bool
+		for _, data := range []string{"id: 1\n", "data: a", "\n", "\n", ":", ":", "\n\nid: 2\ndata: b\n\n", "\n"} {
+			ready, ended, err := b.add([]byte(data))
+			assert.NilError(t, err)
+			got.Write(ready)
+			progress = append(progress, ended)
+		}
+		assert.DeepEqual(t, progress, []bool{false, false, false, true, false, false, true, true})
+		assert.Equal(t, got.String()+string(b.remainder()), "id: 1\ndata: a\n\n::\n\nid: 2\ndata: b\n\n\n")
+	}
+}
+
+// Guards against an engine that uses up the VM's memory with bytes that hold no
+// end of an event.
+func TestEventWithoutEndIsCut(t *testing.T) {
+	for _, wholeEvents := range []bool{false, true} {
+		b := eventBuffer{wholeEvents: wholeEvents}
+		chunk := bytes.Repeat([]byte("x"), streamReadBytes)
+		var err error
+		reads := 0
+		for ; err == nil; reads++ {
+			assert.Assert(t, reads <= maxEventBytes/streamReadBytes+1)
+			_, _, err = b.add(chunk)
+		}
+		assert.Assert(t, len(b.remainder()) <= maxEventBytes)
+	}
+}
+
+// Guards against answers that together use up the VM's memory although each is
+// within its own bound.
+func TestMemoryOfAllAnswersIsBounded(t *testing.T) {
+	m := newAnswerMemory(40 << 20)
+	answer := bytes.Repeat([]byte("x"), 1<<20)
+	var releases []func()
+	for {
+		body, release, err := m.readAll(bytes.NewReader(answer))
+		releases = append(releases, release)
+		if err != nil {
+			break
+		}
+		assert.Equal(t, len(body), len(answer))
+		assert.Assert(t, len(releases) <= 4)
+	}
+	for _, release := range releases {
+		release()
+	}
+	assert.Equal(t, m.used.Load(), int64(0))
+	_, release, err := m.readAll(io.LimitReader(endlessReader{}, maxBufferedAnswerBytes+1))
+	release()
+	assert.Assert(t, err != nil)
+	big := newAnswerMemory(1 << 30)
+	_, release, err = big.readAll(endlessReader{})
+	release()
+	assert.ErrorIs(t, err, errAnswerTooLarge)
+}
+
+// endlessReader never ends.
+type endlessReader struct{}
+
+func (endlessReader) Read(b []byte) (int, error) { return len(b), nil }
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -33,10 +35,6 @@
 	bytes       int64
 }
 
-// maxBufferedAnswerBytes is the maximum size of an answer that is read
-// completely before it is sent to the caller.
-const maxBufferedAnswerBytes = 8 << 20
-
 // silenceTimer cancels a send if the endpoint sends nothing for too long.
 type silenceTimer struct {
 	timer *time.Timer
@@ -141,13 +139,20 @@
 }
 
 func (n *Node) roundTrip(ctx context.Context, w http.ResponseWriter, p *requestState, e *serving.Endpoint, left time.Duration, silence *silenceTimer, tracker *sendTracker) sendResult {
-	response, err := n.client.Do(n.buildRequest(ctx, p, e, left))
+	var connection net.Conn
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn }})
+	response, err := n.client.Do(n.buildRequest(traced, p, e, left))
 	if err != nil {
 		return sendResult{reason: err.Error(), shed: endpoints.NeverSent(err), unreachable: endpoints.NeverSent(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer := n.headerCodec.ParseAnswer(response.StatusCode, response.Header)
 	if answer.RequestID != p.request.ID {
+		// The answer to this request is still to come on this connection. A
+		// response without a body leaves the connection open for the next request.
+		if err := connection.Close(); err != nil {
+			n.logWarning("connection with another request's answer not closed", err, fields{"request": p.request.ID, "endpoint": e.ID})
+		}
 		return sendResult{reason: "the answer belongs to another request"}
 	}
 	if answer.NotRun {
@@ -215,13 +220,11 @@
 // caller, so that the request can still be sent to another endpoint if the
 // answer is incomplete.
 func (n *Node) relayBuffered(w http.ResponseWriter, p *requestState, response *http.Response, answer Answer, silence *silenceTimer, tracker *sendTracker) sendResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswerBytes+1))
+	body, release, err := n.answerMemory.readAll(response.Body)
+	defer release()
 	if err != nil {
 		return sendResult{reason: "answer incomplete: " + err.Error(), status: response.StatusCode}
 	}
-	if len(body) > maxBufferedAnswerBytes {
-		return sendResult{reason: "answer too large", status: response.StatusCode}
-	}
 	silence.stop()
 	tracker.recordFirstByte(false)
 	if p.responseStarted {
--- a/pkg/node/stream.go
+++ b/pkg/node/stream.go
@@ -6,8 +6,17 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
+// maxEventBytes bounds one event of a stream. A stream that sends more without
+// the end of an event is no stream of events, and would use up the VM's memory
+// while its beginning is held back.
+const maxEventBytes = 256 << 10
+
+var errEventTooLong = eris.Errorf("no event ended within %d bytes", maxEventBytes)
+
 // streamReadBytes is the size of the buffer for reading a stream. It holds many
 // events, which have some tens of bytes each.
 const streamReadBytes = 16 << 10
@@ -25,8 +34,17 @@
 		if count > 0 {
 			tracker.recordFirstByte(true)
 			p.recordGap(time.Now())
-			silence.reset(p.streamSilenceLimit())
-			if ready := events.add(buffer[:count]); len(ready) > 0 {
+			ready, eventEnded, tooLong := events.add(buffer[:count])
+			if tooLong != nil {
+				result.reason = "stream broke off: " + tooLong.Error()
+				return result
+			}
+			if eventEnded {
+				// Bytes that complete no event are no progress: an engine that is
+				// stuck may still send some now and then.
+				silence.reset(p.streamSilenceLimit())
+			}
+			if len(ready) > 0 {
 				if writeErr := n.writeToCaller(w, p, response, answer, ready); writeErr != nil {
 					result.reason = "caller left: " + writeErr.Error()
 					return result
@@ -84,25 +102,44 @@
 	wholeEvents bool
 	pending     []byte
 	lastEventID string
+	// sinceEventEnd counts the bytes after the end of the last event, and
+	// lastByte is the last byte of them.
+	sinceEventEnd int
+	lastByte      byte
 }
 
 var eventEnd = []byte("\n\n")
 
-// add returns the bytes that can be sent to the caller now.
-func (b *eventBuffer) add(data []byte) []byte {
+// add returns the bytes that can be sent to the caller now, and whether an event
+// has ended with them. It returns an error if an event is too long.
+func (b *eventBuffer) add(data []byte) (ready []byte, eventEnded bool, err error) {
+	end := bytes.LastIndex(data, eventEnd)
+	switch {
+	case end >= 0:
+		end += len(eventEnd)
+	case b.lastByte == '\n' && data[0] == '\n':
+		end = 1
+	}
+	b.lastByte = data[len(data)-1]
+	if end < 0 {
+		b.sinceEventEnd += len(data)
+	} else {
+		b.sinceEventEnd = len(data) - end
+	}
+	if b.sinceEventEnd > maxEventBytes {
+		return nil, false, errEventTooLong
+	}
 	if !b.wholeEvents {
-		return data
+		return data, end >= 0, nil
 	}
-	b.pending = append(b.pending, data...)
-	end := bytes.LastIndex(b.pending, eventEnd)
 	if end < 0 {
-		return nil
+		b.pending = append(b.pending, data...)
+		return nil, false, nil
 	}
-	end += len(eventEnd)
-	ready := append([]byte(nil), b.pending[:end]...)
-	b.pending = append(b.pending[:0], b.pending[end:]...)
+	ready = append(b.pending, data[:end]...)
+	b.pending = append([]byte(nil), data[end:]...)
 	b.recordLastID(ready)
-	return ready
+	return ready, true, nil
 }
 
 // recordLastID records the id of the last event.
@@ -130,7 +167,7 @@
 	if !p.request.Route.MayRepeat() || p.possibleRuns >= p.request.Route.Attempts {
 		return 0
 	}
-	return streamSilenceLimit
+	return max(streamSilenceLimit, pauseToleranceFactor*p.request.Route.PauseObjective)
 }
 
 // recordGap updates the longest pause between two chunks of a stream.
--- a/pkg/transport/endpoints/endpoints.go
+++ b/pkg/transport/endpoints/endpoints.go
@@ -63,6 +63,8 @@
 			IdleConnTimeout:     config.IdleTimeout,
 			WriteBufferSize:     connBufferBytes,
 			ReadBufferSize:      connBufferBytes,
+
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -81,6 +83,10 @@
 // hundred connections.
 const connBufferBytes = 4 << 10
 
+// maxResponseHeaderBytes bounds the head of a response. A response whose head is
+// longer, or never ends, fails and its connection is closed.
+const maxResponseHeaderBytes = 64 << 10
+
 func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
