Unexpected input ends one call, not the process

Cause: a panic in a goroutine that is no HTTP handler ends a process. The JSON-RPC library runs each handler of a peer's call in such a goroutine, and so do reports and orders of engines and the reads of the store. Change: peers' handlers and the decoders of store, reports and orders turn a panic into an error of that call, with its stack in the log; the state that a peer's message changes is locked by defer. Fuzz tests of the records, settings, headers, streams, messages and handlers; 'make fuzz' runs them, 'make test' their seeds.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The two commands of README: "make demo" and "make test".
-.PHONY: demo test build generate
+.PHONY: demo test fuzz build generate
 
 # Race detector runs need cgo; test processes are few enough for ten cores.
 TEST_FLAGS = -race -count=1 -timeout=20m
@@ -11,12 +11,23 @@
 	go build -o bin/ ./cmd/...
 
 test:
-	@unformatted=$$(gofmt -l cmd pkg internal); if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg internal platform); if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
 	go mod verify
 	go vet ./...
 	go tool staticcheck ./...
 	go build -o bin/ ./cmd/...
 	go test $(TEST_FLAGS) ./...
 
+# Random input for the decoders and the handlers of peers' messages. "make test"
+# runs their seeds only, so that its verdict is the same every time.
+FUZZ_TIME = 10s
+fuzz:
+	go test ./pkg/transport/peers -run NONE -fuzz FuzzMessages -fuzztime $(FUZZ_TIME) -parallel 2
+	go test ./pkg/node -run NONE -fuzz FuzzPeerHandlers -fuzztime $(FUZZ_TIME) -parallel 2
+	go test ./pkg/node -run NONE -fuzz FuzzEventBuffer -fuzztime $(FUZZ_TIME) -parallel 2
+	go test ./platform -run NONE -fuzz FuzzRecords -fuzztime $(FUZZ_TIME) -parallel 2
+	go test ./platform -run NONE -fuzz FuzzHeaders -fuzztime $(FUZZ_TIME) -parallel 2
+	go test ./platform -run NONE -fuzz FuzzSettings -fuzztime $(FUZZ_TIME) -parallel 2
+
 generate:
 	go run ./internal/tools/protogen
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -310,29 +310,12 @@
 // applyFromPeer applies the state that a peer sent.
 func (n *Node) applyFromPeer(now time.Time, s stateMessage) {
 	n.lastSent.record(s.ID, messageSendTime{Boot: s.Boot, SentMs: s.SentMs})
-	n.membersMu.Lock()
-	restarted := n.fleet.ApplyAnnouncement(now, s.Announcement)
-	n.fleet.ApplyRoster(now, s.Announcement, s.Roster, s.RosterSeen)
-	plan := n.fleet.Plan(now)
-	n.authority.ApplyClaims(now, s.ID, s.Boot, s.Claims)
-	n.authority.RefreshHolder(now, s.ID)
-	if s.ID == plan.HomeRelay {
-		n.authority.ApplyRelayedClaims(now, s.ID, s.RelayedClaims)
-	}
-	owners := n.authority.Holders()
-	n.membersMu.Unlock()
+	restarted, plan, owners := n.applyMember(now, s)
 	if restarted {
 		n.logInfo("member started or restarted", fields{"peer": s.ID, "boot": s.Boot, "dataCentre": s.DataCentre, "uptimeMs": s.UptimeMs, "relay": s.Relay})
 	}
 	leaf := plan.Relay && !s.Relay
-	n.capsMu.Lock()
-	n.caps.ApplyReport(now, s.ID, caps.Report{Boot: s.Boot, Uptime: time.Duration(s.UptimeMs) * time.Millisecond, Totals: s.Totals, Leaf: leaf, Fleet: s.Fleet})
-	n.capsMu.Unlock()
-	if s.Loads != nil {
-		n.balanceMu.Lock()
-		n.balancer.ApplyPeerReport(now, s.ID, s.PeerReport)
-		n.balanceMu.Unlock()
-	}
+	n.applyUsageAndLoads(now, s, leaf)
 	n.engineOwner.recordUses(now, s.AdapterUses)
 	if leaf && len(s.AdapterUses) > 0 {
 		n.adapterIndex.addUses(s.AdapterUses, owners)
@@ -342,6 +325,40 @@
 	n.adapterIndex.recordSeenBy(s.ID, s.TablesSeen)
 }
 
+// applyMember applies what a message says of its sender and of other members. It
+// reports whether the sender is new or has restarted, and returns this VM's plan
+// and the VMs that order engines.
+func (n *Node) applyMember(now time.Time, s stateMessage) (restarted bool, plan fleet.Plan, owners []ids.VMID) {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
+	restarted = n.fleet.ApplyAnnouncement(now, s.Announcement)
+	n.fleet.ApplyRoster(now, s.Announcement, s.Roster, s.RosterSeen)
+	plan = n.fleet.Plan(now)
+	n.authority.ApplyClaims(now, s.ID, s.Boot, s.Claims)
+	n.authority.RefreshHolder(now, s.ID)
+	if s.ID == plan.HomeRelay {
+		n.authority.ApplyRelayedClaims(now, s.ID, s.RelayedClaims)
+	}
+	return restarted, plan, n.authority.Holders()
+}
+
+// applyUsageAndLoads applies the customer totals, loads and stream pauses of a
+// message. leaf is set if the sender is a leaf of this VM.
+func (n *Node) applyUsageAndLoads(now time.Time, s stateMessage, leaf bool) {
+	report := caps.Report{Boot: s.Boot, Uptime: time.Duration(s.UptimeMs) * time.Millisecond, Totals: s.Totals, Leaf: leaf, Fleet: s.Fleet}
+	func() {
+		n.capsMu.Lock()
+		defer n.capsMu.Unlock()
+		n.caps.ApplyReport(now, s.ID, report)
+	}()
+	if s.Loads == nil {
+		return
+	}
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	n.balancer.ApplyPeerReport(now, s.ID, s.PeerReport)
+}
+
 // updateClaims updates the claims and everything that depends on the number of
 // members.
 func (n *Node) updateClaims(now time.Time) {
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -283,7 +283,11 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	asked := time.Now()
-	report, err := o.node.engines.Report(ctx, e.endpoint)
+	var report residency.Report
+	err := protect("engine report", func() (err error) {
+		report, err = o.node.engines.Report(ctx, e.endpoint)
+		return err
+	})
 	now := time.Now()
 	o.node.metrics.reports.Inc(1)
 	o.mu.Lock()
@@ -308,7 +312,11 @@
 	started := time.Now()
 	if allowed {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		result, err = o.node.engines.Order(ctx, e.endpoint, string(o.node.settings.Self()), fence, order)
+		result = residency.Unknown
+		err = protect("engine order", func() (err error) {
+			result, err = o.node.engines.Order(ctx, e.endpoint, string(o.node.settings.Self()), fence, order)
+			return err
+		})
 		cancel()
 		o.node.metrics.orders.Inc(1)
 	}
--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -112,7 +112,11 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+watchReplyMargin)
 	defer cancel()
 	sent := time.Now()
-	delta, err := n.store.Watch(ctx, through, wait)
+	var delta mirror.Delta
+	err := protect("store watch", func() (err error) {
+		delta, err = n.store.Watch(ctx, through, wait)
+		return err
+	})
 	n.metrics.storeCalls.Inc(1)
 	if errors.Is(err, ErrCompacted) {
 		n.logInfo("store no longer has the requested changes, listing it", fields{"through": through})
@@ -140,7 +144,12 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	sent := time.Now()
-	items, at, err := n.store.List(ctx)
+	var items []mirror.Item
+	var at ids.Revision
+	err := protect("store listing", func() (err error) {
+		items, at, err = n.store.List(ctx)
+		return err
+	})
 	n.metrics.storeCalls.Inc(1)
 	if err != nil {
 		return err
@@ -172,7 +181,11 @@
 func (n *Node) applyItems(changed []mirror.Item, from string) {
 	effect := false
 	for _, item := range changed {
-		itemChanged, err := n.records.Apply(item)
+		itemChanged := false
+		err := protect("decode item", func() (err error) {
+			itemChanged, err = n.records.Apply(item)
+			return err
+		})
 		switch {
 		case err != nil:
 			n.logWarning("item ignored: it cannot be decoded", err, fields{"key": item.Key, "revision": item.Revision, "from": from})
--- a/pkg/transport/peers/link.go
+++ b/pkg/transport/peers/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/source"
 )
@@ -218,17 +220,31 @@
 		s.replyError(ctx, conn, request, jsonrpc2.CodeInvalidParams, err.Error())
 		return
 	}
-	reply, err := handle(ctx, params.Sender, body)
+	reply, err := callHandler(ctx, handle, params.Sender, body)
 	if err == nil && params.AcceptPacked {
 		reply, err = s.node.packer.pack(reply)
 	}
 	if err != nil {
+		if s.node.config.Logger != nil {
+			s.node.config.Logger.WithError(err).WithField(observability.FieldPeer, string(params.Sender.VM)).WithField(observability.FieldStep, request.Method).Warn("peer request failed")
+		}
 		s.replyError(ctx, conn, request, jsonrpc2.CodeInternalError, err.Error())
 		return
 	}
 	s.replyResult(ctx, conn, request, params.Sender, reply)
 }
 
+// callHandler turns a panic of a handler into an error: the library runs each
+// handler in a goroutine of its own, where a panic would end the process.
+func callHandler(ctx context.Context, handle bodyHandler, from Sender, body json.RawMessage) (reply json.RawMessage, err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = eris.Errorf("handler panicked: %v\n%s", reason, debug.Stack())
+		}
+	}()
+	return handle(ctx, from, body)
+}
+
 func (s *requestHandler) replyResult(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, to Sender, reply json.RawMessage) {
 	action := s.node.faultAction(Message{Peer: to.VM, Method: request.Method, IsReply: true})
 	if action.Drop || sleep(ctx, action.Delay) != nil {
--- a/pkg/transport/peers/packing_test.go
+++ b/pkg/transport/peers/packing_test.go
@@ -164,3 +164,49 @@
 		assert.NilError(t, err, "after %q", line)
 	}
 }
+
+// Guards against an unexpected error in one handler that ends the process.
+func TestPanicOfAHandlerFailsOnlyItsCall(t *testing.T) {
+	registry := NewRegistry()
+	Handle(registry, "fail", func(context.Context, Sender, ping) (ping, error) { panic("unexpected") })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	b := New(Config{Self: Sender{VM: "b"}, Registry: registry})
+	go func() { _ = b.Serve(listener) }()
+	t.Cleanup(b.Close)
+	a, _ := startTextNode(t, "a")
+	a.SetPeers(map[ids.VMID]string{"b": listener.Addr().String()})
+	for range 2 {
+		_, err = Call[ping](context.Background(), a, "b", "fail", testTimeout, ping{})
+		assert.ErrorContains(t, err, "handler panicked")
+	}
+}
+
+// Guards against bytes of a peer that end the process or a loop that reads them.
+func FuzzMessages(f *testing.F) {
+	packed, err := (&packer{}).pack(json.RawMessage(`"` + strings.Repeat("body", minPackedBytes) + `"`))
+	assert.NilError(f, err)
+	for _, seed := range []string{`{"jsonrpc":"2.0","id":1,"method":"m","params":{}}`, `{"id":1,"result":null}`, "[]", "null", string(packed), `{"packed":"AAAA"}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		stream := newMessageStream(struct {
+			io.ReadCloser
+			io.Writer
+		}{io.NopCloser(bytes.NewReader(data)), io.Discard})
+		for {
+			var message json.RawMessage
+			if stream.ReadObject(&message) != nil {
+				break
+			}
+		}
+		p := &packer{}
+		if body, err := p.unpack(data); err == nil && isPacked(data) {
+			again, err := p.pack(body)
+			assert.NilError(t, err)
+			got, err := p.unpack(again)
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(got, body))
+		}
+	})
+}
