node: loops wait for an event instead of polling

Cause: of what 195 VMs cost before any traffic (124 s of their own code in 14.5 s), a part is wake-ups of idle VMs: 7 a second for engines that a VM does not own, 5 for the question whether it must read the store, 3 for exchanges; each wait for an adapter polled every 10 ms. Change: a VM without claims waits for one; the store reader waits until its proof is due or its rank changes; a wait for an adapter checks when the load is due; a plan of the fleet holds for 200 ms, below every limit that it serves.

--- a/pkg/coordination/fleet/fleet.go
+++ b/pkg/coordination/fleet/fleet.go
@@ -70,7 +70,7 @@
 		HomeRelayTimeout:    time.Second,
 		PassiveCallAfter:    450 * time.Millisecond,
 		SizeKnownAfter:      3 * time.Second,
-		MaxPlanAge:          100 * time.Millisecond,
+		MaxPlanAge:          200 * time.Millisecond,
 	}
 }
 
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -146,12 +146,7 @@
 		if !n.lastPlan.Relay {
 			interval = leafExchangeInterval
 		}
-		pause := interval + time.Duration(rand.Int64N(int64(interval/5)))
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		case <-n.wakeExchange:
-		}
+		n.wakeExchange.wait(ctx, interval+time.Duration(rand.Int64N(int64(interval/5))))
 	}
 }
 
@@ -383,9 +378,14 @@
 	n.membersMu.Unlock()
 	if len(claims) != before {
 		n.logInfo("claims changed", fields{"claims": claims, "alive": len(alive), "silent": len(silent)})
+		n.wakeOwner.wake()
+	}
+	if plan.PlatformReadRank != n.lastPlan.PlatformReadRank {
+		n.wakeStoreReader.wake()
 	}
-	if plan.Relay != n.lastPlan.Relay || plan.HomeRelay != n.lastPlan.HomeRelay {
-		n.lastPlan = plan
+	roleChanged := plan.Relay != n.lastPlan.Relay || plan.HomeRelay != n.lastPlan.HomeRelay
+	n.lastPlan = plan
+	if roleChanged {
 		jitter := 0.0
 		if !plan.Mesh {
 			jitter = relayLoadTolerance
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -118,11 +118,12 @@
 	// prefill request.
 	unresponsiveOwners unresponsiveOwners
 
-	// lastPlan is the exchange plan that was logged last. Only the exchange
+	// lastPlan is the exchange plan of the last round. Only the exchange
 	// loop uses it.
 	lastPlan fleet.Plan
 
-	wakeExchange chan struct{}
+	wakeExchange, wakeOwner, wakeStoreReader wakeSignal
+
 	draining     atomic.Bool
 	openRequests atomic.Int64
 	pickSalt     atomic.Uint64
@@ -163,7 +164,9 @@
 		answerMemory:       newAnswerMemory(settings.MemoryBytes),
 		peerCalls:          peerCallCounter{open: make(map[ids.VMID]int)},
 		lastSent:           lastSentTimes{byPeer: make(map[ids.VMID]messageSendTime)},
-		wakeExchange:       make(chan struct{}, 1),
+		wakeExchange:       newWakeSignal(),
+		wakeOwner:          newWakeSignal(),
+		wakeStoreReader:    newWakeSignal(),
 	}
 	self := fleet.Announcement{ID: settings.Self(), DataCentre: settings.DataCentre, Boot: n.boot, Cores: settings.Cores}
 	n.fleet = fleet.New(fleet.DefaultConfig(), now, self, settings.Seeds)
@@ -292,7 +295,7 @@
 	began := time.Now()
 	n.draining.Store(true)
 	n.updateClaims(began)
-	n.wakeExchangeLoop()
+	n.wakeExchange.wake()
 	n.logInfo("drain", fields{"open": n.openRequests.Load()})
 	time.Sleep(min(drainListenTime, n.settings.Bounds.ShutdownGracePeriod/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Bounds.ShutdownGracePeriod-drainReserve))
@@ -334,14 +337,6 @@
 // remain in effect.
 func (n *Node) ReloadFailed(err error) { n.logWarning("reload failed", err, nil) }
 
-// wakeExchangeLoop starts the next exchange with the peers at once.
-func (n *Node) wakeExchangeLoop() {
-	select {
-	case n.wakeExchange <- struct{}{}:
-	default:
-	}
-}
-
 // fences returns the fencing tokens of the data centres whose engines this VM
 // may send orders to now.
 func (n *Node) fences(now time.Time) map[ids.DataCentreID]ids.FencingToken {
@@ -356,6 +351,14 @@
 	return fences
 }
 
+// hasClaims reports whether this VM has a claim, under which it may or may not
+// send orders now.
+func (n *Node) hasClaims() bool {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
+	return len(n.authority.Claims()) > 0
+}
+
 func (n *Node) fence(now time.Time, dc ids.DataCentreID) (ids.FencingToken, bool) {
 	n.membersMu.Lock()
 	defer n.membersMu.Unlock()
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -20,9 +20,12 @@
 // Timings of the calls to owned engines.
 const (
 	ownerStepInterval = 25 * time.Millisecond
-	// idleStepInterval is the pause between steps while this VM owns no
-	// engines.
-	idleStepInterval = 150 * time.Millisecond
+	// idleStepInterval is the longest pause between steps while this VM has no
+	// claims. A new claim starts the next step at once.
+	idleStepInterval = time.Second
+	// claimStepInterval is the pause between steps while this VM has claims but
+	// may not send orders yet.
+	claimStepInterval = 150 * time.Millisecond
 	// reportInterval is the pause between reports of an engine whose state is
 	// known. They show whether the engine restarted; they are not more frequent
 	// because each report has a cost.
@@ -40,9 +43,10 @@
 	// modelLoadAllowance is the number of model loads in a window that
 	// operators allow in addition to those from the rate.
 	modelLoadAllowance = 3.0
-	// ensurePollInterval is the pause between checks for an adapter that a
-	// request waits for.
-	ensurePollInterval = 10 * time.Millisecond
+	// maxEnsurePause is the longest pause between checks for an adapter that a
+	// request waits for, while it is loading. Before, the next check is due after
+	// the owner's next step.
+	maxEnsurePause = 60 * time.Millisecond
 )
 
 // engine is an owner's state of one engine, guarded by engineOwner.mu.
@@ -104,10 +108,13 @@
 // run sends orders until ctx ends.
 func (o *engineOwner) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if o.step(ctx, time.Now()) {
+		switch {
+		case o.step(ctx, time.Now()):
 			sleep(ctx, ownerStepInterval)
-		} else {
-			sleep(ctx, idleStepInterval)
+		case o.node.hasClaims():
+			sleep(ctx, claimStepInterval)
+		default:
+			o.node.wakeOwner.wait(ctx, idleStepInterval)
 		}
 	}
 }
@@ -472,15 +479,15 @@
 	deadline := time.Now().Add(time.Duration(request.WaitMs) * time.Millisecond)
 	for first := true; ; first = false {
 		now := time.Now()
-		reply, wait := o.ensureStep(now, request, first, deadline)
-		if !wait {
+		reply, pause := o.ensureStep(now, request, first, deadline)
+		if pause == 0 {
 			return reply
 		}
 		if ctx.Err() != nil || !now.Before(deadline) {
 			o.abandonEnsure(now, request)
 			return ensureReply{Status: ensureBusy, RetryMs: retryAfterBusy.Milliseconds()}
 		}
-		sleep(ctx, ensurePollInterval)
+		sleep(ctx, min(pause, max(time.Until(deadline), time.Millisecond)))
 	}
 }
 
@@ -513,30 +520,32 @@
 	return e.table.HasModel(model) && e.table.AvailableSlots(now, e.limits, active) > 0
 }
 
-func (o *engineOwner) ensureStep(now time.Time, request ensureRequest, first bool, deadline time.Time) (ensureReply, bool) {
+// ensureStep checks for the adapter of a request and demands it. It returns the
+// time until the next check, or 0 if the reply is final.
+func (o *engineOwner) ensureStep(now time.Time, request ensureRequest, first bool, deadline time.Time) (ensureReply, time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e := o.engines[request.Endpoint]
 	if e == nil {
-		return ensureReply{Status: ensureNotOwner}, false
+		return ensureReply{Status: ensureNotOwner}, 0
 	}
 	if first && request.Missing {
 		e.table.AdapterMissing(now, request.Key)
 	}
 	if held, found := e.table.Find(request.Key, request.Version); found && e.table.Known() {
-		return ensureReply{Status: ensureResident, Version: held.Version}, held.Ready.After(now)
+		return ensureReply{Status: ensureResident, Version: held.Version}, min(max(held.Ready.Sub(now), 0), maxEnsurePause)
 	}
 	if first {
 		ahead := e.table.PendingDemands()
 		wait := e.table.EstimateWait(now, ahead)
 		if now.Add(wait).After(deadline) {
-			return ensureReply{Status: ensureBusy, RetryMs: wait.Milliseconds()}, false
+			return ensureReply{Status: ensureBusy, RetryMs: wait.Milliseconds()}, 0
 		}
 		// A newer version replaces the older one and needs no additional slot.
 		if _, held := e.table.Find(request.Key, 0); e.table.Known() && !held && !o.hasRoom(now, e, request.Key.Model) {
-			return ensureReply{Status: ensureBusy, RetryMs: retryAfterBusy.Milliseconds()}, false
+			return ensureReply{Status: ensureBusy, RetryMs: retryAfterBusy.Milliseconds()}, 0
 		}
 	}
 	e.table.Demand(residency.Demand{Key: request.Key, Version: request.Version, Urgency: request.Urgency, Since: now})
-	return ensureReply{}, true
+	return ensureReply{}, ownerStepInterval
 }
--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -42,9 +42,6 @@
 	// proof. It is limited to leafReadAgeShare of Bounds.MaxRevocationDelay.
 	leafReadAge      = 3100 * time.Millisecond
 	leafReadAgeShare = 0.62
-	// readCheckInterval is the longest pause between checks whether this VM has
-	// to read the store itself.
-	readCheckInterval = 200 * time.Millisecond
 	// The backoff after a failed read doubles from minReadBackoff up to
 	// maxReadBackoff.
 	minReadBackoff = 50 * time.Millisecond
@@ -59,7 +56,7 @@
 	unavailable := false
 	for ctx.Err() == nil {
 		if wait := n.timeUntilRead(time.Now()); wait > 0 {
-			sleep(ctx, min(wait, readCheckInterval))
+			n.wakeStoreReader.wait(ctx, wait)
 			continue
 		}
 		err := n.readStore(ctx)
@@ -206,7 +203,7 @@
 	n.balanceMu.Lock()
 	n.balancer.Prune(view.Endpoints)
 	n.balanceMu.Unlock()
-	n.wakeExchangeLoop()
+	n.wakeExchange.wake()
 }
 
 // updateCapLimits passes the customers' limits of a new configuration to the
