--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The two commands of README: "make demo" and "make test".
-.PHONY: demo test fuzz build generate
+.PHONY: demo test fuzz regression build generate
 
 # Race detector runs need cgo; test processes are few enough for ten cores.
 TEST_FLAGS = -race -count=1 -timeout=20m
@@ -29,5 +29,10 @@
 	go test ./platform -run NONE -fuzz FuzzHeaders -fuzztime $(FUZZ_TIME) -parallel 2
 	go test ./platform -run NONE -fuzz FuzzSettings -fuzztime $(FUZZ_TIME) -parallel 2
 
+# Plays the operators' deployments with their bench and compares the scores with
+# docs/scores.json: make regression BENCH=PATH SITES=DIRECTORY [QUICK=--quick]
+regression:
+	go run ./internal/tools/regression --bench $(BENCH) --sites $(SITES) $(QUICK)
+
 generate:
 	go run ./internal/tools/protogen
