--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -141,9 +141,9 @@
 		}
 		last = now
 		n.exchangeRound(ctx, now)
-		n.updateClaims(time.Now())
+		plan := n.updateClaims(time.Now())
 		interval := exchangeInterval
-		if !n.lastPlan.Relay {
+		if !plan.Relay {
 			interval = leafExchangeInterval
 		}
 		n.wakeExchange.wait(ctx, interval+time.Duration(rand.Int64N(int64(interval/5))))
@@ -355,8 +355,8 @@
 }
 
 // updateClaims updates the claims and everything that depends on the number of
-// members.
-func (n *Node) updateClaims(now time.Time) {
+// members, and returns the plan of the fleet.
+func (n *Node) updateClaims(now time.Time) fleet.Plan {
 	n.membersMu.Lock()
 	alive := n.fleet.Alive(now)
 	silent := n.fleet.Suspected(now)
@@ -375,16 +375,17 @@
 	if !n.settings.FirstStart && now.Sub(n.startedAt) < restartUncertainty {
 		unheard = n.fleet.UnheardVMs(n.settings.DataCentres)
 	}
+	rankChanged := plan.PlatformReadRank != n.lastPlan.PlatformReadRank
+	roleChanged := plan.Relay != n.lastPlan.Relay || plan.HomeRelay != n.lastPlan.HomeRelay
+	n.lastPlan = plan
 	n.membersMu.Unlock()
 	if len(claims) != before {
 		n.logInfo("claims changed", fields{"claims": claims, "alive": len(alive), "silent": len(silent)})
 		n.wakeOwner.wake()
 	}
-	if plan.PlatformReadRank != n.lastPlan.PlatformReadRank {
+	if rankChanged {
 		n.wakeStoreReader.wake()
 	}
-	roleChanged := plan.Relay != n.lastPlan.Relay || plan.HomeRelay != n.lastPlan.HomeRelay
-	n.lastPlan = plan
 	if roleChanged {
 		jitter := 0.0
 		if !plan.Mesh {
@@ -399,6 +400,7 @@
 	n.caps.SetReachable(len(alive)+1, len(silent)+unheard)
 	n.capsMu.Unlock()
 	n.fleetSize.Store(int64(size))
+	return plan
 }
 
 // lastSentTimes holds the send time of the last message of each peer.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -93,6 +93,8 @@
 	membersMu sync.Mutex
 	fleet     *fleet.Fleet
 	authority *authority.Authority
+	// lastPlan is the exchange plan of the last round.
+	lastPlan fleet.Plan
 
 	capsMu sync.Mutex
 	caps   *caps.Limiter
@@ -118,10 +120,6 @@
 	// prefill request.
 	unresponsiveOwners unresponsiveOwners
 
-	// lastPlan is the exchange plan of the last round. Only the exchange
-	// loop uses it.
-	lastPlan fleet.Plan
-
 	wakeExchange, wakeOwner, wakeStoreReader wakeSignal
 
 	draining     atomic.Bool
