node: after a restart, use what engines registered until their owner publishes

Cause: after a loss of all VMs every request for an adapter waits until an owner has claimed the data centre (0.7 s, or 1.6 s with relays), asked its engines and published their tables, although the engines still hold their adapters and say so in their entries of the store. Change: an engine without a published table counts as holding what its entry names. An owner's table replaces it and is never replaced by it; an engine that no longer holds an adapter denies it as before. What the store says of adapters is still not relayed. TestRegisteredAdaptersAreUsedUntilTheOwnerPublishes does not build without the change; with setRegistered emptied it fails.

--- a/pkg/node/adapter_index.go
+++ b/pkg/node/adapter_index.go
@@ -135,6 +135,26 @@
 	r.replaceIfNewer(id, view)
 }
 
+// setRegistered sets what an engine registered about itself as its table, unless
+// one is known. A VM uses it until the engine's owner publishes the first table:
+// after a restart of all VMs, requests for adapters that engines still hold need
+// not wait for that. An engine that no longer holds an adapter denies it.
+func (r *adapterIndex) setRegistered(now time.Time, id ids.EndpointID, models []serving.HeldModel) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.engines[id] != nil || len(models) == 0 {
+		return
+	}
+	view := &engineView{held: make(map[serving.AdapterKey]residency.Held)}
+	for _, model := range models {
+		view.models = append(view.models, model.Name)
+		for _, ref := range model.Adapters {
+			view.held[serving.AdapterKey{Model: model.Name, Adapter: ref.Adapter}] = residency.Held{Version: ref.Version, Ready: now}
+		}
+	}
+	r.engines[id] = view
+}
+
 // setOwnTable sets the table of an engine that this VM owns.
 func (r *adapterIndex) setOwnTable(id ids.EndpointID, view *engineView) {
 	r.mu.Lock()
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -49,6 +49,9 @@
 	// Config returns the current configuration, or nil if there is none yet.
 	Config() *serving.Config
 	Endpoints() map[ids.EndpointID]*serving.Endpoint
+	// HeldModels returns what an engine last registered about the models and
+	// adapters that it holds. It is some seconds old.
+	HeldModels(id ids.EndpointID) []serving.HeldModel
 	Versions() map[serving.AdapterKey]ids.AdapterVersion
 }
 
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -248,3 +248,27 @@
 type endlessReader struct{}
 
 func (endlessReader) Read(b []byte) (int, error) { return len(b), nil }
+
+// Pattern: all VMs restart while the engines go on. Guards against requests that
+// wait for an owner's first table although the engine's own entry names the
+// adapter, and against an entry that replaces what an owner has published.
+func TestRegisteredAdaptersAreUsedUntilTheOwnerPublishes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newAdapterIndex()
+	key := serving.AdapterKey{Model: "base", Adapter: "a1"}
+	models := []serving.HeldModel{{Name: "base", Adapters: []ids.AdapterRef{{Adapter: "a1", Version: 2}}}}
+	r.setRegistered(now, "e", models)
+	held, found := r.find("e", key, 2)
+	assert.Assert(t, found && !held.Ready.After(now))
+	_, found = r.find("e", key, 3)
+	assert.Assert(t, !found, "an older version is used")
+	tables, _ := r.tablesSince(now, 0, func(ids.EndpointID) bool { return true })
+	assert.Equal(t, len(tables), 0, "an engine's entry is passed on as an owner's table")
+
+	r.applyFromPeer(now, "owner", "boot", map[ids.EndpointID]publishedTable{"e": {Fence: 1, Models: []string{"base"}}}, 0, 1)
+	_, found = r.find("e", key, 0)
+	assert.Assert(t, !found, "the owner knows that the adapter is gone")
+	r.setRegistered(now, "e", models)
+	_, found = r.find("e", key, 0)
+	assert.Assert(t, !found)
+}
--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -198,6 +198,11 @@
 	view := directory.NewView(n.records.Config(), n.records.Endpoints(), n.records.Versions())
 	n.directory.Set(view)
 	n.logChanges(before, view, from)
+	for id := range view.Endpoints {
+		if before.Endpoints[id] == nil {
+			n.adapterIndex.setRegistered(time.Now(), id, n.records.HeldModels(id))
+		}
+	}
 	n.declared.update(time.Now(), view.Versions)
 	n.updateCapLimits(before, view)
 	n.balanceMu.Lock()
