Log lines carry milliseconds

Cause: the lines of a request at several VMs within one second could not be put in order. Change: the time of a log line has milliseconds.

--- a/pkg/observability/log.go
+++ b/pkg/observability/log.go
@@ -22,12 +22,16 @@
 	FieldTrace = "trace"
 )
 
+// TimeFormat is the format of a log line's time. Milliseconds order the lines of
+// several VMs.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes one JSON object per line and removes
 // callers' API keys. An unknown level selects info.
 func NewLogger(out io.Writer, level string, redactor *Redactor) *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(out)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: TimeFormat})
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
 		parsed = logrus.InfoLevel
