wagtailctl request: one request's way through the logs of several VMs

Cause: docs/OPERATIONS.md sent operators through the logs with grep, one VM after the other. Change: a command that finds a request's lines and those of its adapter, engines and VMs around it, in order of time, as text or JSON; it reads one log a VM or a collected one.

--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -1,7 +1,7 @@
 // Package ctl implements the commands of wagtailctl, the operator's
 // command-line tool: it checks settings and records, publishes records to the
-// platform, and queries or drains VMs at their admin addresses. It decides the
-// exit code of each command. Command wagtailctl calls Execute.
+// platform, queries or drains VMs at their admin addresses, and finds requests
+// in the VMs' logs. It decides the exit code of each command. Command wagtailctl calls Execute.
 package ctl
 
 import (
@@ -106,6 +106,7 @@
 		statusCommand(),
 		drainCommand(),
 		burnCommand(),
+		requestCommand(),
 		demoCommand(),
 		versionCommand(),
 	)
