node: age the proof of the configuration while the machine is suspended

Cause: a machine may be suspended for seconds, and Go's monotonic clock leaves that time out. A VM that woke up took its proof for as young as before, so that a key withdrawn meanwhile could be used for up to 4 s more, and did not notice the stall after which it must not send orders. Change: proofs, the send times of messages and the stall check use CLOCK_BOOTTIME. Result: TestProofAgesWhileTheMachineIsSuspended, which could not be written before (the proof took the time as an argument from time.Now).

--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -96,7 +96,7 @@
 		return p, refuseNoConfig("no configuration yet")
 	}
 	p.setCall(call)
-	if refused := n.authenticate(arrived, view, p, call.Key); refused != nil {
+	if refused := n.authenticate(view, p, call.Key); refused != nil {
 		return p, refused
 	}
 	p.setDeadline(call.TimeLeft)
@@ -115,8 +115,8 @@
 }
 
 // authenticate finds the route, the service and the customer of a request.
-func (n *Node) authenticate(now time.Time, view *directory.View, p *requestState, key string) *refusal {
-	age, proven := n.proofAge(now)
+func (n *Node) authenticate(view *directory.View, p *requestState, key string) *refusal {
+	age, proven := n.proofAge()
 	current := proven && age <= maxProofAgeToDeny
 	path, _, _ := strings.Cut(p.target, "?")
 	route := view.Route(p.host, path)
@@ -143,7 +143,7 @@
 	if customer != nil && customer.Priority != nil {
 		p.request.Urgency = *customer.Priority
 	}
-	return n.checkKey(now, p)
+	return n.checkKey(p)
 }
 
 // split picks one of a route's services at random, by weight.
@@ -170,7 +170,7 @@
 
 // checkKey returns a refusal if a request with a key must not run now. It is
 // called at admission and again before each send.
-func (n *Node) checkKey(now time.Time, p *requestState) *refusal {
+func (n *Node) checkKey(p *requestState) *refusal {
 	if p.request.Customer == nil || p.request.Route.Open {
 		return nil
 	}
@@ -181,17 +181,19 @@
 	if !n.settings.Bounds.StrictRevocation {
 		return nil
 	}
-	age, proven := n.proofAge(now)
+	age, proven := n.proofAge()
 	if !proven || age > time.Duration(proofAgeShare*float64(n.settings.Bounds.MaxRevocationDelay)) {
 		return refuseNoConfig("no recent proof of the configuration")
 	}
 	return nil
 }
 
-func (n *Node) proofAge(now time.Time) (time.Duration, bool) {
+// proofAge returns the age of the proof that the configuration is current, and
+// reports whether there is a proof.
+func (n *Node) proofAge() (time.Duration, bool) {
 	n.proofMu.Lock()
 	defer n.proofMu.Unlock()
-	return n.proof.Age(now)
+	return n.proof.Age(n.bootTime())
 }
 
 // setDeadline sets the request's deadline from the shorter of the caller's and
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -62,7 +62,7 @@
 	for shed := 0; ; {
 		endpoint, refused := n.chooseEndpoint(ctx, p)
 		if refused == nil {
-			refused = n.checkKey(time.Now(), p)
+			refused = n.checkKey(p)
 		}
 		if refused != nil {
 			n.endNotRun(r, w, p, refused)
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -67,7 +67,7 @@
 	// receiver that has applied it needs no delta to reach Through.
 	LastEffect ids.Revision `json:"effect"`
 	ProofAgeMs int64        `json:"proof"`
-	// SentMs is the sender's uptime when it sent the message. Echo returns that
+	// SentMs is the sender's uptime by its boot time when it sent the message. Echo returns that
 	// of the receiver's last message, so that the receiver knows since when this
 	// message may have been on its way.
 	SentMs int64             `json:"sent,omitempty"`
@@ -129,17 +129,17 @@
 
 // exchangeLoop exchanges state with the peers until ctx ends.
 func (n *Node) exchangeLoop(ctx context.Context) {
-	last := time.Now()
+	last := n.bootTime()
 	for ctx.Err() == nil {
-		now := time.Now()
-		if now.Sub(last) > stallThreshold {
+		now, current := time.Now(), n.bootTime()
+		if gap := current.Sub(last); gap > stallThreshold {
 			n.lastStallEnd.Store(now.UnixNano())
-			n.logInfo("process was stalled", fields{"gapMs": now.Sub(last).Milliseconds()})
+			n.logInfo("process was stalled", fields{"gapMs": gap.Milliseconds()})
 			n.membersMu.Lock()
 			n.authority.Suspend(now)
 			n.membersMu.Unlock()
 		}
-		last = now
+		last = current
 		n.exchangeRound(ctx, now)
 		plan := n.updateClaims(time.Now())
 		interval := exchangeInterval
@@ -172,23 +172,22 @@
 }
 
 func (n *Node) exchangeWithPeer(ctx context.Context, id ids.VMID) {
-	asked := time.Now()
-	message := n.buildMessage(asked, id, scopeSubtree)
+	asked, now := n.bootTime(), time.Now()
+	message := n.buildMessage(now, id, scopeSubtree)
 	message.TablesSince = n.adapterIndex.changesSeenBy(id)
-	message.Tables, message.TableChanges = n.adapterIndex.tablesSince(asked, message.TablesSince, n.engineOwner.ownedEngines())
+	message.Tables, message.TableChanges = n.adapterIndex.tablesSince(now, message.TablesSince, n.engineOwner.ownedEngines())
 	reply, err := peers.Call[stateMessage](ctx, n.peers, id, methodExchange, exchangeTimeout, message)
 	if err != nil {
 		n.countPeerFailure(id, err)
 		return
 	}
-	now := time.Now()
-	n.applyFromPeer(now, reply)
+	n.applyFromPeer(time.Now(), reply)
 	n.catchUpFromPeer(ctx, asked, id, reply)
 }
 
 // catchUpFromPeer fetches the store changes that a peer has and this VM lacks,
-// and adopts the peer's proof that the configuration is current. asked is a time
-// before the peer sent its message.
+// and adopts the peer's proof that the configuration is current. asked is a boot
+// time before the peer sent its message.
 func (n *Node) catchUpFromPeer(ctx context.Context, asked time.Time, id ids.VMID, reply stateMessage) {
 	if reply.Through > n.mirror.CompleteThrough() && !n.mirror.SkipThrough(reply.Through, reply.LastEffect) {
 		delta, err := peers.Call[mirror.Delta](ctx, n.peers, id, methodDelta, deltaTimeout, deltaRequest{After: n.mirror.CompleteThrough()})
@@ -232,7 +231,7 @@
 	if request.Echo == nil || request.Echo.Boot != n.boot || !n.peerCalls.tryBegin(request.ID) {
 		return
 	}
-	asked := n.startedAt.Add(time.Duration(request.Echo.SentMs) * time.Millisecond)
+	asked := n.bootTimeAtStart.Add(time.Duration(request.Echo.SentMs) * time.Millisecond)
 	go func() {
 		defer n.peerCalls.end(request.ID)
 		n.catchUpFromPeer(n.ctx, asked, request.ID, request)
@@ -257,10 +256,10 @@
 
 // buildMessage returns the VM's state as a message for a peer.
 func (n *Node) buildMessage(now time.Time, to ids.VMID, scope messageScope) stateMessage {
-	s := stateMessage{ProofAgeMs: -1, TablesSeen: n.adapterIndex.seenChanges(to), SentMs: now.Sub(n.startedAt).Milliseconds(), Echo: n.lastSent.get(to)}
+	s := stateMessage{ProofAgeMs: -1, TablesSeen: n.adapterIndex.seenChanges(to), SentMs: n.bootTime().Sub(n.bootTimeAtStart).Milliseconds(), Echo: n.lastSent.get(to)}
 	n.proofMu.Lock()
 	s.Through, s.LastEffect = n.mirror.CompleteThrough(), n.mirror.LastEffect()
-	if age, proven := n.proof.Age(now); proven {
+	if age, proven := n.proof.Age(n.bootTime()); proven {
 		s.ProofAgeMs = age.Milliseconds() + 1
 	}
 	n.proofMu.Unlock()
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -120,7 +120,7 @@
 	if config := n.directory.View().Config; config != nil {
 		f["config"] = config.Version
 	}
-	if age, proven := n.proofAge(now); proven {
+	if age, proven := n.proofAge(); proven {
 		f["proofMs"] = age.Milliseconds()
 	}
 	n.metrics.countRequest(outcome, kind, now.Sub(r.Arrived))
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -77,9 +77,13 @@
 
 	boot      ids.BootID
 	startedAt time.Time
-	log       *logrus.Logger
-	metrics   *metrics
-	logWriter *lineWriter
+	// bootTime is the clock of proofs, messages and stalls; see the function of
+	// that name. bootTimeAtStart is its reading at the start of this process.
+	bootTime        func() time.Time
+	bootTimeAtStart time.Time
+	log             *logrus.Logger
+	metrics         *metrics
+	logWriter       *lineWriter
 
 	mirror    *mirror.Mirror
 	directory *directory.Directory
@@ -145,7 +149,7 @@
 	n := &Node{
 		settings: settings, options: options,
 		store: options.Store, records: options.Records, engines: options.Engines, headerCodec: options.HeaderCodec, client: options.Client,
-		boot: ids.BootID(uuid.NewString()[:8]), startedAt: now,
+		boot: ids.BootID(uuid.NewString()[:8]), startedAt: now, bootTime: bootTime, bootTimeAtStart: bootTime(),
 		logWriter: logWriter, log: observability.NewLogger(logWriter, options.LogLevel, &observability.Redactor{}),
 		mirror: mirror.New(), directory: directory.New(), declared: newDeclaredVersions(),
 		authority: authority.New(authority.Config{
@@ -259,7 +263,7 @@
 // serveReady answers the readiness probe. A VM is ready while it can serve
 // requests that carry a key.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	age, proven := n.proofAge(time.Now())
+	age, proven := n.proofAge()
 	bound := time.Duration(proofAgeShare * float64(n.settings.Bounds.MaxRevocationDelay))
 	current := proven && (!n.settings.Bounds.StrictRevocation || age <= bound)
 	if n.draining.Load() || n.directory.View().Config == nil || !current {
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -138,7 +138,7 @@
 func TestHeldUpMessageProvesOnlyTheTimeItEchoes(t *testing.T) {
 	n := New(Settings{IP: "127.0.0.1", ListenAddresses: ListenAddresses{Peers: "127.0.0.1:1"}}, Options{LogOutput: io.Discard})
 	defer n.stop()
-	n.startedAt = time.Now().Add(-10 * time.Second)
+	n.bootTimeAtStart = n.bootTime().Add(-10 * time.Second)
 	n.mirror.Apply(mirror.Delta{Through: 3})
 	request := stateMessage{Through: 3, ProofAgeMs: 100}
 	request.ID, request.Boot = "127.0.0.1:2", "peer"
@@ -146,18 +146,18 @@
 	request.Echo = &messageSendTime{Boot: "an earlier run", SentMs: 9900}
 	n.catchUpFromRequest(request)
 	time.Sleep(20 * time.Millisecond)
-	_, proven := n.proofAge(time.Now())
+	_, proven := n.proofAge()
 	assert.Assert(t, !proven)
 
 	request.Echo = &messageSendTime{Boot: n.boot, SentMs: 6000}
 	n.catchUpFromRequest(request)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, proven := n.proofAge(time.Now()); !proven {
+		if _, proven := n.proofAge(); !proven {
 			return poll.Continue("no proof")
 		}
 		return poll.Success()
 	}, poll.WithTimeout(5*time.Second))
-	age, _ := n.proofAge(time.Now())
+	age, _ := n.proofAge()
 	assert.Assert(t, age >= 4100*time.Millisecond, "%v", age)
 }
 
@@ -272,3 +272,22 @@
 	_, found = r.find("e", key, 0)
 	assert.Assert(t, !found)
 }
+
+// Guards against a withdrawn key that is used after the machine was suspended:
+// Go's monotonic clock stands still meanwhile, so that the proof would seem as
+// young as before.
+func TestProofAgesWhileTheMachineIsSuspended(t *testing.T) {
+	n := New(Settings{IP: "127.0.0.1", ListenAddresses: ListenAddresses{Peers: "127.0.0.1:1"}}, Options{LogOutput: io.Discard})
+	defer n.stop()
+	suspended := time.Duration(0)
+	n.bootTime = func() time.Time { return bootTime().Add(suspended) }
+	n.settings.Bounds = Bounds{StrictRevocation: true, MaxRevocationDelay: 5 * time.Second}
+	n.confirmProof(n.bootTime(), 1)
+	customer := &serving.Customer{ID: "c", Keys: []string{"key"}}
+	n.directory.Set(directory.NewView(&serving.Config{Customers: []serving.Customer{*customer}}, nil, nil))
+	p := &requestState{key: "key", request: &serving.Request{Customer: customer, Route: &serving.Route{}}}
+	assert.Assert(t, n.checkKey(p) == nil)
+	suspended = 6 * time.Second
+	refused := n.checkKey(p)
+	assert.Assert(t, refused != nil && refused.status == http.StatusServiceUnavailable)
+}
--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -84,7 +84,7 @@
 // reads. The others read when the proofs from their peers get too old, relays
 // before leaves.
 func (n *Node) timeUntilRead(now time.Time) time.Duration {
-	age, proven := n.proofAge(now)
+	age, proven := n.proofAge()
 	if !proven {
 		return 0
 	}
@@ -108,7 +108,7 @@
 	wait := n.maxWatchWait()
 	ctx, cancel := context.WithTimeout(ctx, wait+watchReplyMargin)
 	defer cancel()
-	sent := time.Now()
+	sent := n.bootTime()
 	var delta mirror.Delta
 	err := protect("store watch", func() (err error) {
 		delta, err = n.store.Watch(ctx, through, wait)
@@ -140,7 +140,7 @@
 func (n *Node) listStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := n.bootTime()
 	var items []mirror.Item
 	var at ids.Revision
 	err := protect("store listing", func() (err error) {
