After a loss of all VMs, VMs that are still joining don't reduce the rates

Cause: the share of data centres that were not heard was taken off the customers' rates from the first moment after a restart, when no VM has heard another. Change: such data centres count from an uptime of 1 s on, until a minute; the rule moved to package fleet.

--- a/pkg/coordination/fleet/fleet.go
+++ b/pkg/coordination/fleet/fleet.go
@@ -48,6 +48,9 @@
 	// SizeKnownAfter is the uptime from which a VM knows most of the other VMs,
 	// even if all of them have restarted.
 	SizeKnownAfter time.Duration
+	// JoinTime is the uptime from which a VM has heard every data centre from
+	// which it is not cut off.
+	JoinTime time.Duration
 	// MaxPlanAge is how long a plan is used while no member is new or has
 	// changed.
 	MaxPlanAge time.Duration
@@ -70,6 +73,7 @@
 		HomeRelayTimeout:    time.Second,
 		PassiveCallAfter:    450 * time.Millisecond,
 		SizeKnownAfter:      3 * time.Second,
+		JoinTime:            time.Second,
 		MaxPlanAge:          200 * time.Millisecond,
 	}
 }
@@ -275,13 +279,25 @@
 	if !heard {
 		return 0
 	}
-	return size + f.UnheardVMs(dataCentres)
+	return size + f.assumedVMs(dataCentres)
 }
 
-// UnheardVMs returns how many VMs are assumed in the data centres of which no
+// UnheardVMs returns how many VMs of data centres that were never heard may be
+// running behind a partition, and admitting their share of customers' rates. It
+// is 0 until JoinTime, since callers return at once after a loss of all VMs while
+// these still find each other, and after ForgetAfter, since a data centre may
+// have no VMs.
+func (f *Fleet) UnheardVMs(now time.Time, dataCentres []ids.DataCentreID) int {
+	if uptime := now.Sub(f.started); uptime < f.config.JoinTime || uptime > f.config.ForgetAfter {
+		return 0
+	}
+	return f.assumedVMs(dataCentres)
+}
+
+// assumedVMs returns how many VMs are assumed in the data centres of which no
 // member has been heard since this VM started: in each, as many as this VM has
 // heard in its own.
-func (f *Fleet) UnheardVMs(dataCentres []ids.DataCentreID) int {
+func (f *Fleet) assumedVMs(dataCentres []ids.DataCentreID) int {
 	heard := map[ids.DataCentreID]int{f.self.DataCentre: 1}
 	for _, m := range f.members {
 		if m.Boot != "" {
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -33,12 +33,6 @@
 	stallThreshold = 700 * time.Millisecond
 )
 
-// restartUncertainty is how long after a restart the VMs of a data centre that
-// was not heard count as silent: their process may run on behind a partition, and
-// admit its share of the customers' rates. A data centre without VMs costs the
-// customers its share for so long.
-const restartUncertainty = time.Minute
-
 // relayLoadTolerance is the load difference below which endpoints are
 // considered equally loaded while loads are passed on by relays. About that
 // many requests reach an endpoint in the meantime.
@@ -371,8 +365,8 @@
 	n.fleet.SetSelf(n.draining.Load(), len(claims) > 0)
 	plan, size := n.fleet.Plan(now), n.fleet.EstimatedSize(now, n.settings.DataCentres)
 	unheard := 0
-	if !n.settings.FirstStart && now.Sub(n.startedAt) < restartUncertainty {
-		unheard = n.fleet.UnheardVMs(n.settings.DataCentres)
+	if !n.settings.FirstStart {
+		unheard = n.fleet.UnheardVMs(now, n.settings.DataCentres)
 	}
 	rankChanged := plan.PlatformReadRank != n.lastPlan.PlatformReadRank
 	roleChanged := plan.Relay != n.lastPlan.Relay || plan.HomeRelay != n.lastPlan.HomeRelay
