Deletions behind a listing reach all VMs, and tokens of released claims are known

DRAIN: a VM that restarts lists the store and does not know the keys that were deleted shortly before; its peers took the listing's revision from it without those deletions, and sent requests to an engine for 16 s after its entry was removed. ONE: a VM that claims several data centres at once takes tokens ahead of the clock; a VM that starts after these claims were released never heard of them and took a lower token. Change: a mirror remembers the ranges that it filled by listings; a peer that asks from within one gets a listing instead of a delta. State messages carry the highest fencing token that the sender knows of. TestListingOfARestartedVMCarriesDeletionsItNeverKnew does not build before; TestTokenOfANewVMIsAboveReleasedOnes fails without ObserveFence.

--- a/pkg/coordination/authority/authority.go
+++ b/pkg/coordination/authority/authority.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// HighestFence returns the highest fencing token that this VM knows of, its own
+// included.
+func (a *Authority) HighestFence() ids.FencingToken { return a.highestFence }
+
+// ObserveFence records the highest fencing token that another VM knows of. Its
+// holder may have released the claim, or be gone, before this VM started.
+func (a *Authority) ObserveFence(fence ids.FencingToken) {
+	a.highestFence = max(a.highestFence, fence)
+}
+
 // ClaimsByHolder returns the claims of all other VMs that are not known to be
 // released, sorted by holder.
 func (a *Authority) ClaimsByHolder() []HolderClaims {
--- a/pkg/coordination/authority/authority_test.go
+++ b/pkg/coordination/authority/authority_test.go
@@ -262,3 +262,32 @@
 	assert.Assert(t, known)
 	assert.Equal(t, holder, large.id)
 }
+
+// Pattern: all VMs are stopped in turn, and the last one holds the claims on all
+// data centres when it releases them. Guards against a VM that starts then and
+// takes a lower fencing token: claiming several data centres at once puts tokens
+// ahead of the clock, and a released claim is no longer reported.
+func TestTokenOfANewVMIsAboveReleasedOnes(t *testing.T) {
+	dataCentres := []ids.DataCentreID{"dc-0", "dc-1", "dc-2", "dc-3"}
+	newAuthority := func(id ids.VMID, suffix uint64, now time.Time) *authority.Authority {
+		return authority.New(authority.Config{Self: id, DataCentre: dc, FenceSuffix: suffix, Lease: lease, FirstClaimDelay: claimDelay}, now)
+	}
+	last := newAuthority("last", 9, start)
+	claimedAt := start.Add(2 * lease)
+	last.Tick(claimedAt, claimedAt, false, []ids.DataCentreID{"dc-3", "dc-2", "dc-1", "dc-0"}, nil)
+	used := last.Claims()
+	assert.Equal(t, len(used), len(dataCentres))
+	last.Release()
+
+	started := claimedAt.Add(100 * time.Millisecond)
+	next := newAuthority("next", 1, started)
+	now := started.Add(claimDelay + tick)
+	next.ObserveFence(last.HighestFence())
+	next.ApplyClaims(now, "last", "boot", last.Claims())
+	next.Tick(now, now, false, dataCentres, []authority.Candidate{{ID: "last", DataCentre: dc, Boot: "boot", Started: start, Leaving: true}})
+	claims := next.Claims()
+	assert.Equal(t, len(claims), len(dataCentres))
+	for i, claim := range claims {
+		assert.Assert(t, claim.Fence > used[i].Fence, "%s: token %d after %d", claim.DataCentre, claim.Fence, used[i].Fence)
+	}
+}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -67,6 +67,8 @@
 	SentMs int64             `json:"sent,omitempty"`
 	Echo   *messageSendTime  `json:"echo,omitempty"`
 	Claims []authority.Claim `json:"claims,omitempty"`
+	// HighestFence is the highest fencing token that the sender knows of.
+	HighestFence ids.FencingToken `json:"fence,omitempty"`
 	// RelayedClaims are the claims of the other VMs. A relay sends them to its
 	// leaves.
 	RelayedClaims []authority.HolderClaims `json:"holdings,omitempty"`
@@ -261,7 +263,7 @@
 	s.Announcement = n.fleet.Self(now)
 	s.Roster, s.RosterSeen = n.fleet.Roster(now, to), n.fleet.RosterSeen(to)
 	leaves, orders := n.fleet.Leaves(now), n.fleet.OrdersEngines(to)
-	s.Claims = n.authority.Claims()
+	s.Claims, s.HighestFence = n.authority.Claims(), n.authority.HighestFence()
 	if scope == scopeFleet {
 		s.RelayedClaims = n.authority.ClaimsByHolder()
 	}
@@ -322,6 +324,7 @@
 	restarted = n.fleet.ApplyAnnouncement(now, s.Announcement)
 	n.fleet.ApplyRoster(now, s.Announcement, s.Roster, s.RosterSeen)
 	plan = n.fleet.Plan(now)
+	n.authority.ObserveFence(s.HighestFence)
 	n.authority.ApplyClaims(now, s.ID, s.Boot, s.Claims)
 	n.authority.RefreshHolder(now, s.ID)
 	if s.ID == plan.HomeRelay {
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -28,8 +28,15 @@
 type Delta struct {
 	Items   []Item       `json:"items,omitempty"`
 	Through ids.Revision `json:"through"`
+	// Listing is set if Items are all items instead: the sender may not know of
+	// every deletion since the revision that was asked for.
+	Listing bool `json:"listing,omitempty"`
 }
 
+// gap is a range of revisions within which deletions may be unknown: a listing at
+// listedAt followed a state that was complete through completeThrough.
+type gap struct{ completeThrough, listedAt ids.Revision }
+
 // Mirror is a copy of the store that has every change up to one revision. Its
 // methods are safe for concurrent use.
 type Mirror struct {
@@ -37,8 +44,11 @@
 	items map[string]Item
 	// completeThrough is the revision up to which every change is applied.
 	completeThrough ids.Revision
-	// lastEffect is the highest revision of a change that had an effect.
+	// lastEffect is the highest revision of a change that had an effect, or of a
+	// listing, behind which deletions may be hidden.
 	lastEffect ids.Revision
+	// gaps are the ranges that were filled by listings, in order of revision.
+	gaps []gap
 }
 
 // New returns an empty mirror, complete through revision 0.
@@ -87,6 +97,9 @@
 	item.effectiveAt = item.previousEffect
 	m.items[key] = item
 	m.lastEffect = 0
+	if len(m.gaps) > 0 {
+		m.lastEffect = m.gaps[len(m.gaps)-1].listedAt
+	}
 	for _, item := range m.items {
 		m.lastEffect = max(m.lastEffect, item.effectiveAt)
 	}
@@ -99,9 +112,12 @@
 	m.lastEffect = max(m.lastEffect, item.Revision)
 }
 
-// Apply merges a delta that starts at or below the revision through which the
+// Apply merges a delta or, if the delta is one, a listing. A delta starts at or below the revision through which the
 // mirror is complete. It returns the items that changed the mirror.
 func (m *Mirror) Apply(delta Delta) []Item {
+	if delta.Listing {
+		return m.Replace(delta.Items, delta.Through)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed := m.merge(delta.Items)
@@ -128,7 +144,11 @@
 		m.set(tombstone)
 		changed = append(changed, tombstone)
 	}
-	m.completeThrough = max(m.completeThrough, revision)
+	if revision > m.completeThrough {
+		m.gaps = append(m.gaps, gap{m.completeThrough, revision})
+		m.completeThrough = revision
+	}
+	m.lastEffect = max(m.lastEffect, revision)
 	return changed
 }
 
@@ -153,11 +173,17 @@
 }
 
 // Since returns the changes after a revision that had an effect, in order of
-// revision. The mirror keeps deletions for the life of the process, so the delta
-// is complete from any revision.
+// revision, or all items if deletions after that revision may be unknown. The
+// mirror keeps the deletions that it learns of for the life of the process.
 func (m *Mirror) Since(after ids.Revision) Delta {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	for _, g := range m.gaps {
+		// A mirror that is empty needs no deletions.
+		if after > g.completeThrough && after < g.listedAt {
+			return m.listing()
+		}
+	}
 	delta := Delta{Through: m.completeThrough}
 	for _, item := range m.items {
 		if item.effectiveAt > after {
@@ -168,6 +194,18 @@
 	return delta
 }
 
+// listing returns all items that are not deleted. The caller holds m.mu.
+func (m *Mirror) listing() Delta {
+	delta := Delta{Through: m.completeThrough, Listing: true}
+	for _, item := range m.items {
+		if !item.Deleted {
+			delta.Items = append(delta.Items, item)
+		}
+	}
+	sort.Slice(delta.Items, func(i, j int) bool { return delta.Items[i].Key < delta.Items[j].Key })
+	return delta
+}
+
 // WithPrefix returns the items that are not deleted and whose key starts with a
 // prefix, in no fixed order.
 func (m *Mirror) WithPrefix(prefix string) []Item {
--- a/pkg/state/mirror/mirror_test.go
+++ b/pkg/state/mirror/mirror_test.go
@@ -124,3 +124,30 @@
 	b.Apply(a.Since(b.CompleteThrough()))
 	assert.Equal(t, len(b.WithPrefix("x")), 0)
 }
+
+// Guards against a server that left but stays in use: a VM that has just
+// restarted lists the store and never knew the key that was deleted shortly
+// before, and its peers take the listing's revision from it without the deletion.
+func TestListingOfARestartedVMCarriesDeletionsItNeverKnew(t *testing.T) {
+	peer, leaf, restarted := mirror.New(), mirror.New(), mirror.New()
+	before := []mirror.Item{{Key: "gone", Value: []byte("1"), Revision: 3}, {Key: "stays", Value: []byte("1"), Revision: 4}}
+	peer.Replace(before, 5)
+	leaf.Apply(peer.Since(0))
+	// "gone" is deleted at revision 6, and "stays" changes at 7.
+	restarted.Replace([]mirror.Item{{Key: "stays", Value: []byte("2"), Revision: 7}}, 8)
+	for _, m := range []*mirror.Mirror{peer, leaf} {
+		from := restarted
+		if m == leaf {
+			from = peer
+		}
+		assert.Assert(t, !m.SkipThrough(from.CompleteThrough(), from.LastEffect()))
+		m.Apply(from.Since(m.CompleteThrough()))
+		assert.Equal(t, m.CompleteThrough(), ids.Revision(8))
+		assert.Equal(t, len(m.WithPrefix("gone")), 0, "the deletion is lost")
+		assert.Equal(t, string(m.WithPrefix("stays")[0].Value), "2")
+	}
+	assert.Assert(t, !peer.Since(5).Listing, "a VM that knew the key passes the deletion on as a change")
+	empty := mirror.New()
+	assert.Assert(t, !restarted.Since(empty.CompleteThrough()).Listing)
+	assert.Assert(t, !restarted.Since(8).Listing)
+}
