--- a/internal/tools/regression/main.go
+++ b/internal/tools/regression/main.go
@@ -164,7 +164,8 @@
 }
 
 var (
-	scoreLine = regexp.MustCompile(`^score on the .* of \S+ .*: ([0-9.]+)$`)
+	// The bench adds the difference from an earlier run, if there is one.
+	scoreLine = regexp.MustCompile(`^(?:score|quick estimate) on the .* of \S+ .*: ([0-9.]+)(?:,.*)?$`)
 	gateLine  = regexp.MustCompile(`^GATE (passed|failed)`)
 )
 
--- a/internal/tools/regression/main_test.go
+++ b/internal/tools/regression/main_test.go
@@ -12,10 +12,14 @@
 )
 
 // fakeBench writes a program that prints what the bench prints of a deployment.
-func fakeBench(t *testing.T, score, gate string) string {
+func fakeBench(t *testing.T, score, gate string, quick bool) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "bench")
-	script := fmt.Sprintf("#!/bin/sh\necho \"arguments: $@\"\necho 'score on the standard days of site-a (set 1f): %s'\necho 'GATE %s'\n", score, gate)
+	line := "score on the standard days of site-a (set 1f): " + score
+	if quick {
+		line = "quick estimate on the standard days of site-a (set 1f): " + score + ", +0.034 against snapshot d67708af"
+	}
+	script := fmt.Sprintf("#!/bin/sh\necho \"arguments: $@\"\necho '%s'\necho 'GATE %s'\n", line, gate)
 	assert.NilError(t, os.WriteFile(path, []byte(script), 0o755))
 	return path
 }
@@ -40,7 +44,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var out bytes.Buffer
-			err := run(&out, options{bench: fakeBench(t, c.score, c.gate), sites: "pages", record: record, why: "test", quick: c.quick})
+			err := run(&out, options{bench: fakeBench(t, c.score, c.gate, c.quick), sites: "pages", record: record, why: "test", quick: c.quick})
 			assert.Equal(t, err != nil, c.fails != "", "%v\n%s", err, out.String())
 			assert.Assert(t, strings.Contains(out.String(), c.fails), out.String())
 			assert.Assert(t, strings.Contains(out.String(), "score pages/a/site-a.toml --jobs 2 --why test"), out.String())
