--- a/pkg/node/adapter_index.go
+++ b/pkg/node/adapter_index.go
@@ -98,9 +98,8 @@
 	r.seenByPeer[peer] = changes
 }
 
-// applyFromPeer applies the tables that a peer sent.
-// They are all that changed at the peer between its change counts since and
-// changes.
+// applyFromPeer applies the tables that a peer sent: all that changed there
+// between its change counts since and changes.
 func (r *adapterIndex) applyFromPeer(now time.Time, peer ids.VMID, boot ids.BootID, tables map[ids.EndpointID]publishedTable, since, changes uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -112,8 +112,9 @@
 	m.lastEffect = max(m.lastEffect, item.Revision)
 }
 
-// Apply merges a delta or, if the delta is one, a listing. A delta starts at or below the revision through which the
-// mirror is complete. It returns the items that changed the mirror.
+// Apply merges a delta that starts at or below the revision through which the
+// mirror is complete, or the listing that replaces one. It returns the items
+// that changed the mirror.
 func (m *Mirror) Apply(delta Delta) []Item {
 	if delta.Listing {
 		return m.Replace(delta.Items, delta.Through)
