Log what a request held when its engine ended before the answer

No line named the parts of a prompt, and a lost connection looked like an ended process.

Change: the shared parts of a prompt are read from the request. After a send that ended without a byte of the answer, the VM tries the engine's address: only an ended process refuses connections.

--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -110,6 +110,7 @@
 	p.key = call.Key
 	p.request.Model, p.request.Adapter = call.Model, call.Adapter
 	p.request.PromptTokens, p.request.MaxOutputTokens = call.PromptTokens, call.MaxOutputTokens
+	p.request.SharedParts = call.SharedParts
 	p.request.ResumeAfter = call.ResumeAfter
 	p.lastEventID = call.ResumeAfter
 }
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -89,7 +89,9 @@
 	Adapter                       ids.AdapterID
 	HasTokens                     bool
 	PromptTokens, MaxOutputTokens int64
-	ResumeAfter                   string
+	// SharedParts are the parts of the prompt that other requests may hold too.
+	SharedParts []ids.PromptPartID
+	ResumeAfter string
 }
 
 // Send describes one attempt to send a request to an endpoint.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -114,6 +114,7 @@
 	adapterIndex       *adapterIndex
 	engineOwner        *engineOwner
 	ensureCalls        singleflight.Group
+	crashChecks        singleflight.Group
 	copies             *copyThrottle
 	firstByteEstimator *firstByteEstimator
 	answerMemory       *answerMemory
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -94,7 +94,11 @@
 	if silence.fired.Load() && !result.done {
 		result.reason = "endpoint silent"
 	}
-	tracker.recordEnd(balancerOutcome(result, ctx.Err() != nil && !silence.fired.Load()), result.reason)
+	outcome := balancerOutcome(result, ctx.Err() != nil && !silence.fired.Load())
+	tracker.recordEnd(outcome, result.reason)
+	if outcome == balance.Failed && !tracker.firstByteSeen && len(p.request.SharedParts) > 0 {
+		n.examineBrokenSend(p, e, now, result.reason)
+	}
 	return result
 }
 
--- a/pkg/protocol/ids/ids.go
+++ b/pkg/protocol/ids/ids.go
@@ -25,6 +25,8 @@
 	AdapterVersion uint64
 	// RouteID identifies a route.
 	RouteID string
+	// PromptPartID identifies a part of a prompt that several requests may share.
+	PromptPartID string
 	// RequestID identifies one request of a caller.
 	RequestID string
 	// Revision orders the changes of the configuration service or of the
--- a/pkg/protocol/serving/serving.go
+++ b/pkg/protocol/serving/serving.go
@@ -193,6 +193,8 @@
 	// Model and Adapter are empty for plain services.
 	Model   string
 	Adapter ids.AdapterID
+	// SharedParts are the parts of the prompt that other requests may hold too.
+	SharedParts []ids.PromptPartID
 	// PromptTokens and MaxOutputTokens are the counts that the caller stated.
 	PromptTokens, MaxOutputTokens int64
 	Cost                          int64
--- a/pkg/transport/endpoints/endpoints.go
+++ b/pkg/transport/endpoints/endpoints.go
@@ -4,6 +4,7 @@
 package endpoints
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -101,3 +102,18 @@
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
+
+// Refuses reports whether an address refuses connections, which shows that its
+// host is up and that no process listens there. It returns an error if the
+// address neither accepts nor refuses a connection in time.
+func Refuses(ctx context.Context, config Config, address string) (bool, error) {
+	dialer := &net.Dialer{Timeout: config.DialTimeout, LocalAddr: source.LocalAddr(config.SourceIP)}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		return false, connection.Close()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return true, nil
+	}
+	return false, err
+}
