A stream that ends inside an event has been broken off

Callers saw: an answer without a length and without chunks ends with its connection. When its engine ended in the middle of an event, or before the first one, the caller got the piece as a complete answer, and a resumable stream was not resumed.

Cause: the end of such a body is no error for net/http, and the node took each body without an error for complete.

Change: the end of a stream counts as broken off inside an event, and without an event if the connection was its only end. The request then goes the way of any stream that broke off, and may show a crash of the engine.

Evidence: eight of fourteen cases of TestStreamThatEndsWithItsConnection failed before, all pass; the six of whole streams, with carriage returns and further empty lines too, passed before and after.

--- a/pkg/node/stream.go
+++ b/pkg/node/stream.go
@@ -83,8 +83,16 @@
 	return err
 }
 
-// finishStream ends the response of a stream that was read to its end.
+// finishStream ends the response of a stream that was read to its end. A stream
+// that ends inside an event was broken off, and so was one without an event whose
+// only end is that of its connection.
 func (n *Node) finishStream(w http.ResponseWriter, p *requestState, response *http.Response, answer Answer, events *eventBuffer, result sendResult) sendResult {
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if events.insideEvent() || endsWithConnection && len(events.tail) == 0 {
+		result.reason = "stream broke off: it ended inside an event or before the first one"
+		result.connectionLost = true
+		return result
+	}
 	remainder := events.remainder()
 	if len(remainder) > 0 || !p.responseStarted {
 		if err := n.writeToCaller(w, p, response, answer, remainder); err != nil {
@@ -104,14 +112,17 @@
 	wholeEvents bool
 	pending     []byte
 	lastEventID string
-	// sinceEventEnd counts the bytes after the end of the last event, and
-	// lastByte is the last byte of them.
+	// sinceEventEnd counts the bytes after the end of the last event, and tail
+	// holds the last bytes of the stream.
 	sinceEventEnd int
-	lastByte      byte
+	tail          []byte
 }
 
 var eventEnd = []byte("\n\n")
 
+// tailBytes is the length of an event's end with carriage returns.
+const tailBytes = len("\r\n\r\n")
+
 // add returns the bytes that can be sent to the caller now, and whether an event
 // has ended with them. It returns an error if an event is too long.
 func (b *eventBuffer) add(data []byte) (ready []byte, eventEnded bool, err error) {
@@ -119,10 +130,11 @@
 	switch {
 	case end >= 0:
 		end += len(eventEnd)
-	case b.lastByte == '\n' && data[0] == '\n':
+	case bytes.HasSuffix(b.tail, eventEnd[:1]) && data[0] == '\n':
 		end = 1
 	}
-	b.lastByte = data[len(data)-1]
+	b.tail = append(b.tail, data[max(len(data)-tailBytes, 0):]...)
+	b.tail = b.tail[max(len(b.tail)-tailBytes, 0):]
 	if end < 0 {
 		b.sinceEventEnd += len(data)
 	} else {
@@ -160,6 +172,13 @@
 	return b.lastEventID
 }
 
+// insideEvent reports whether the last byte belongs to an event that has not
+// ended.
+func (b *eventBuffer) insideEvent() bool {
+	tail := bytes.ReplaceAll(b.tail, []byte("\r"), nil)
+	return len(bytes.TrimLeft(tail, "\n")) > 0 && !bytes.HasSuffix(tail, eventEnd)
+}
+
 // remainder returns the bytes held back at the end of the stream.
 func (b *eventBuffer) remainder() []byte { return b.pending }
 
