quarantine: leaves settle for one second, relays for half of it

Cause: the time for which a crash is not counted yet was chosen by whether the exchange role had changed, so that relays of a large fleet kept the short one and leaves waited 1.6 s.

Change: it follows from the role alone; a leaf waits one second.

--- a/pkg/coordination/quarantine/quarantine.go
+++ b/pkg/coordination/quarantine/quarantine.go
@@ -49,8 +49,8 @@
 	MaxCrashes, MaxSuspects, MaxStarts int
 }
 
-// DefaultConfig returns the limits for exchanges several times a second. A fleet
-// with relays needs the longer SettleTime of SetSettleTime.
+// DefaultConfig returns the limits for VMs that exchange messages with most others
+// several times a second.
 func DefaultConfig() Config {
 	return Config{
 		MinCrashes:    2,
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -394,9 +394,13 @@
 		n.wakeStoreReader.wake()
 	}
 	if roleChanged {
-		jitter, settle := 0.0, quarantine.DefaultConfig().SettleTime
+		jitter := 0.0
 		if !plan.Mesh {
-			jitter, settle = relayLoadTolerance, quarantineSettleWithRelays
+			jitter = relayLoadTolerance
+		}
+		settle := quarantine.DefaultConfig().SettleTime
+		if !plan.Relay {
+			settle = leafQuarantineSettle
 		}
 		n.balanceMu.Lock()
 		n.balancer.SetJitter(jitter)
--- a/pkg/node/quarantine.go
+++ b/pkg/node/quarantine.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	// quarantineSettleWithRelays replaces quarantine.Config.SettleTime in a fleet
-	// with relays: a report passes two relays to the other leaves, and so does
-	// what clears a part.
-	quarantineSettleWithRelays = 1600 * time.Millisecond
+	// leafQuarantineSettle replaces quarantine.Config.SettleTime at leaves, which
+	// learn later than relays what other VMs have cleared.
+	leafQuarantineSettle = time.Second
 	// crashCheckTimeout bounds the check whether an engine's process has ended,
 	// for which a request waits before it is sent to another engine.
 	crashCheckTimeout = 200 * time.Millisecond
