--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -118,6 +118,9 @@
 	// not the endpoint's original body.
 	Encoded bool
 	Load    *ReportedLoad
+	// Limit is the number of requests a second that the endpoint takes from all
+	// VMs together; nil if it names none.
+	Limit *float64
 }
 
 // ReportedLoad is the number of requests and slots that an endpoint reports
