--- a/pkg/coordination/fleet/fleet.go
+++ b/pkg/coordination/fleet/fleet.go
@@ -334,3 +334,15 @@
 	}
 	return known
 }
+
+// Staying returns those of the given members that have not announced that they
+// are leaving.
+func (f *Fleet) Staying(members []ids.VMID) []ids.VMID {
+	var staying []ids.VMID
+	for _, id := range members {
+		if m := f.members[id]; m != nil && !m.Leaving {
+			staying = append(staying, id)
+		}
+	}
+	return staying
+}
--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -98,7 +98,7 @@
 		view := n.directory.View()
 		endpoints := n.eligible(view, p)
 		if len(endpoints) == 0 {
-			return nil, refuseNoEndpoint()
+			return nil, n.refuseAtLimits(p)
 		}
 		minVersion := n.declared.minVersion(now, p.request.AdapterKey(), time.Duration(versionGraceShare*float64(n.settings.Bounds.OldVersionGracePeriod)))
 		if p.deniedBy != nil {
@@ -138,8 +138,11 @@
 // sent.
 func (n *Node) eligible(view *directory.View, p *requestState) []*serving.Endpoint {
 	var eligible []*serving.Endpoint
+	now := time.Now()
+	n.limitsMu.Lock()
+	defer n.limitsMu.Unlock()
 	for _, e := range view.ServiceEndpoints(p.request.Service.Name) {
-		if !e.Leaving && !p.excluded[e.ID] {
+		if !e.Leaving && !p.excluded[e.ID] && n.limits.DeniedFor(now, e.ID) == 0 {
 			eligible = append(eligible, e)
 		}
 	}
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -59,7 +59,7 @@
 		n.adapterIndex.beginRequest(key)
 		defer n.adapterIndex.endRequest(key)
 	}
-	for shed := 0; ; {
+	for shed, denied := 0, 0; ; {
 		endpoint, refused := n.chooseEndpoint(ctx, p)
 		if refused == nil {
 			refused = n.checkKey(p)
@@ -71,6 +71,14 @@
 			n.endNotRun(r, w, p, refused)
 			return
 		}
+		if !n.admitToEndpoint(ctx, endpoint) {
+			n.releaseGrant(&p.prefillGrant, false)
+			if denied++; denied > maxDenials {
+				n.endNotRun(r, w, p, n.refuseAtLimits(p))
+				return
+			}
+			continue
+		}
 		result := n.send(ctx, w, p, endpoint)
 		switch {
 		case result.done:
@@ -121,7 +129,7 @@
 	}
 	e := n.pickLeastLoaded(now, endpoints, p.pickSalt)
 	if e == nil {
-		return nil, refuseNoEndpoint()
+		return nil, n.refuseAtLimits(p)
 	}
 	return e, nil
 }
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/authority"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/caps"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/endpointlimit"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fleet"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/quarantine"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
@@ -47,6 +48,7 @@
 	methodEnsure      = "node.ensure"
 	methodPrefill     = "node.begin"
 	methodPrefillDone = "node.started"
+	methodGrant       = "node.grant"
 )
 
 // stateMessage is the state that a VM sends to a peer several times a second.
@@ -81,8 +83,11 @@
 	// Fleet is set if they cover all VMs.
 	Fleet bool `json:"fleet,omitempty"`
 	balance.PeerReport
-	Quarantine  quarantine.Message `json:"quarantine,omitzero"`
-	AdapterUses map[string]float64 `json:"uses,omitempty"`
+	Quarantine quarantine.Message `json:"quarantine,omitzero"`
+	// Limits are the limits that endpoints name, those that changed recently or
+	// all of them.
+	Limits      map[ids.EndpointID]endpointlimit.Report `json:"limits,omitempty"`
+	AdapterUses map[string]float64                      `json:"uses,omitempty"`
 	// ActiveAdapters are the adapters with open requests, sent to VMs that send
 	// orders to engines.
 	ActiveAdapters []string                          `json:"active,omitempty"`
@@ -123,6 +128,7 @@
 	peers.Handle(registry, methodEnsure, n.handleEnsure)
 	peers.Handle(registry, methodPrefill, n.handlePrefill)
 	peers.Handle(registry, methodPrefillDone, n.handlePrefillDone)
+	peers.Handle(registry, methodGrant, n.handleGrant)
 	return registry
 }
 
@@ -166,6 +172,7 @@
 	n.peers.SetPeers(addresses)
 	n.lastSent.forgetOthers(addresses)
 	n.maintainQuarantine(addresses)
+	n.forgetLimitPeers(addresses)
 	for _, id := range targets {
 		if n.peerCalls.tryBegin(id) {
 			go func() {
@@ -278,6 +285,7 @@
 	}
 	n.membersMu.Unlock()
 	s.Quarantine = n.buildQuarantineMessage(to)
+	s.Limits = n.limitReports(now, to)
 	s.AdapterUses = n.adapterIndex.takeUses(to)
 	n.addUsageAndLoads(now, &s, to, scope, leaves)
 	if orders || !s.Relay {
@@ -316,6 +324,7 @@
 	}
 	leaf := plan.Relay && !s.Relay
 	n.applyQuarantineMessage(s, leaf)
+	n.applyLimitReports(now, s.ID, restarted, s.Limits)
 	n.applyUsageAndLoads(now, s, leaf)
 	n.engineOwner.recordUses(now, s.AdapterUses)
 	if leaf && len(s.AdapterUses) > 0 {
@@ -413,6 +422,9 @@
 	n.capsMu.Lock()
 	n.caps.SetReachable(len(alive)+1, len(silent)+unheard)
 	n.capsMu.Unlock()
+	n.limitsMu.Lock()
+	n.limits.SetFleet(len(alive)+1, len(silent)+unheard, size)
+	n.limitsMu.Unlock()
 	n.fleetSize.Store(int64(size))
 	return plan
 }
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -16,7 +16,7 @@
 	root *observability.Metrics
 
 	storeCalls, reports, orders, peerFailures       tally.Counter
-	engineCrashes, quarantineRefusals               tally.Counter
+	engineCrashes, quarantineRefusals, limitDenials tally.Counter
 	openRequests, droppedLogLines, quarantinedParts tally.Gauge
 	firstToken, total                               tally.Histogram
 }
@@ -37,6 +37,7 @@
 
 		engineCrashes:      scope.Counter("engine_crashes"),
 		quarantineRefusals: scope.Counter("quarantine_refusals"),
+		limitDenials:       scope.Counter("endpoint_limit_denials"),
 		openRequests:       scope.Gauge("open_requests"),
 		droppedLogLines:    scope.Gauge("log_lines_dropped"),
 		quarantinedParts:   scope.Gauge("quarantined_prompt_parts"),
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/authority"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/caps"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/endpointlimit"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fleet"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/freshness"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/quarantine"
@@ -117,6 +118,11 @@
 	// loggedBlames describes the blames that were logged last.
 	loggedBlames []string
 
+	limitsMu sync.Mutex
+	limits   *endpointlimit.Limits
+	// limitsSentAt is when each peer was last sent all limits.
+	limitsSentAt map[ids.VMID]time.Time
+
 	adapterIndex       *adapterIndex
 	engineOwner        *engineOwner
 	ensureCalls        singleflight.Group
@@ -128,8 +134,9 @@
 	peerCalls          peerCallCounter
 	lastSent           lastSentTimes
 	// unresponsiveOwners holds the engine owners that recently did not answer a
-	// prefill request.
-	unresponsiveOwners unresponsiveOwners
+	// prefill request, and unresponsiveCoordinators the VMs that did not answer a
+	// request for a grant.
+	unresponsiveOwners, unresponsiveCoordinators unresponsiveVMs
 
 	wakeExchange, wakeOwner, wakeStoreReader wakeSignal
 
@@ -171,6 +178,8 @@
 		pausesSentAt:       make(map[ids.VMID]time.Time),
 		retryBudgets:       make(map[string]*retrybudget.Budget),
 		quarantine:         quarantine.New(quarantine.DefaultConfig()),
+		limits:             endpointlimit.New(endpointlimit.DefaultConfig()),
+		limitsSentAt:       make(map[ids.VMID]time.Time),
 		adapterIndex:       newAdapterIndex(),
 		copies:             &copyThrottle{requests: make(map[serving.AdapterKey]requestCount), interval: copyInterval, minRequests: copyMinRequests},
 		firstByteEstimator: newFirstByteEstimator(),
--- a/pkg/node/prefill.go
+++ b/pkg/node/prefill.go
@@ -70,25 +70,25 @@
 
 type prefillDoneReply struct{}
 
-// unresponsiveOwners records the owners that recently did not answer.
-type unresponsiveOwners struct {
+// unresponsiveVMs records the VMs that recently did not answer.
+type unresponsiveVMs struct {
 	mu    sync.Mutex
 	until map[ids.VMID]time.Time
 }
 
-func (s *unresponsiveOwners) backOffUntil(owner ids.VMID, until time.Time) {
+func (s *unresponsiveVMs) backOffUntil(vm ids.VMID, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.until == nil {
 		s.until = make(map[ids.VMID]time.Time)
 	}
-	s.until[owner] = until
+	s.until[vm] = until
 }
 
-func (s *unresponsiveOwners) isBackedOff(now time.Time, owner ids.VMID) bool {
+func (s *unresponsiveVMs) isBackedOff(now time.Time, vm ids.VMID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.until[owner])
+	return now.Before(s.until[vm])
 }
 
 // maxOwnersProbed limits how many engines' owners are asked whether a request
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -177,9 +177,7 @@
 		}
 		return sendResult{reason: "the answer belongs to another request"}
 	}
-	if answer.Limit != nil {
-		n.logInfo("endpoint names a limit", fields{"request": p.request.ID, "endpoint": e.ID, "limit": *answer.Limit, "sends": p.sends})
-	}
+	n.recordLimit(e, answer)
 	if answer.NotRun {
 		return sendResult{
 			shed:          true,
--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -208,6 +208,9 @@
 	n.balanceMu.Lock()
 	n.balancer.Prune(view.Endpoints)
 	n.balanceMu.Unlock()
+	n.limitsMu.Lock()
+	n.limits.Prune(func(id ids.EndpointID) bool { return view.Endpoints[id] != nil })
+	n.limitsMu.Unlock()
 	n.wakeExchange.wake()
 }
 
@@ -244,6 +247,9 @@
 			n.balanceMu.Lock()
 			n.balancer.ResetEndpoint(id)
 			n.balanceMu.Unlock()
+			n.limitsMu.Lock()
+			n.limits.Forget(id)
+			n.limitsMu.Unlock()
 		}
 		if old == nil || old.Leaving != endpoint.Leaving || old.Started != endpoint.Started || old.Address != endpoint.Address {
 			changed = append(changed, endpoint)
