--- a/pkg/coordination/residency/load_time.go
+++ b/pkg/coordination/residency/load_time.go
@@ -39,7 +39,25 @@
 	return l.initial + time.Duration(float64(l.extra)*math.Exp2(-age))
 }
 
+// observation is what an observed load time replaced in the estimate.
+type observation struct {
+	extra   time.Duration
+	extraAt time.Time
+	// observedAt is when the load time was observed.
+	observedAt time.Time
+}
+
 // observe records that a load took, or will take, the given time.
-func (l *LoadTimeEstimator) observe(now time.Time, duration time.Duration) {
+func (l *LoadTimeEstimator) observe(now time.Time, duration time.Duration) observation {
+	replaced := observation{extra: l.extra, extraAt: l.extraAt, observedAt: now}
 	l.extra, l.extraAt = min(duration, maxLearnedLoadTime)-l.initial, now
+	return replaced
+}
+
+// withdraw undoes an observation that turned out to be none of a load, unless
+// another one has followed.
+func (l *LoadTimeEstimator) withdraw(o observation) {
+	if !o.observedAt.IsZero() && l.extraAt.Equal(o.observedAt) {
+		l.extra, l.extraAt = o.extra, o.extraAt
+	}
 }
--- a/pkg/coordination/residency/table.go
+++ b/pkg/coordination/residency/table.go
@@ -189,6 +189,9 @@
 	// contradicted is set when the engine has denied having an adapter that
 	// the table lists, until the next report is applied.
 	contradicted bool
+	// denial is the load time that was observed when the engine last denied having
+	// an adapter.
+	denial observation
 	// changeCount counts the changes of models and held.
 	changeCount uint64
 }
@@ -224,6 +227,7 @@
 	t.pendingOrder = nil
 	clear(t.models)
 	clear(t.held)
+	t.withdrawDenial()
 	t.reportNotBefore = now
 	t.changeCount++
 }
@@ -245,6 +249,9 @@
 		return
 	}
 	t.started = max(t.started, report.Started)
+	if restarted {
+		t.withdrawDenial()
+	}
 	heldBefore := t.held
 	t.held = make(map[serving.AdapterKey]*Held)
 	clear(t.models)
@@ -671,11 +678,18 @@
 		t.markUnknown(now)
 		return
 	}
-	t.loadTime.observe(now, max(t.loadTime.Estimate(now), age)+denialRetryInterval/2)
+	t.denial = t.loadTime.observe(now, max(t.loadTime.Estimate(now), age)+denialRetryInterval/2)
 	entry.Loading, entry.Ready = true, now.Add(denialRetryInterval)
 	t.changeCount++
 }
 
+// withdrawDenial undoes what a denial added to the load time estimate: an engine
+// that has restarted denied an adapter because it had lost it.
+func (t *Table) withdrawDenial() {
+	t.loadTime.withdraw(t.denial)
+	t.denial = observation{}
+}
+
 // ChangeCount returns the number of changes to the engine's models and
 // adapters.
 func (t *Table) ChangeCount() uint64 { return t.changeCount }
--- a/pkg/coordination/residency/table_test.go
+++ b/pkg/coordination/residency/table_test.go
@@ -315,3 +315,34 @@
 	table.ApplyReport(now, now, residency.Report{Sequence: 2})
 	assert.Assert(t, !table.HasModel("base"))
 }
+
+// Guards against a caller who is refused after an engine's restart although the
+// adapter could be loaded in time: the engine denied an adapter that had been
+// loaded shortly before, which was taken for a slow load, so that the estimate for
+// the new load exceeded the caller's wait.
+func TestRestartIsNotTakenForASlowLoad(t *testing.T) {
+	for name, restart := range map[string]func(table *residency.Table, now time.Time){
+		"seen in a report": func(table *residency.Table, now time.Time) {
+			table.ApplyReport(now, now, residency.Report{Started: 2, Models: []serving.HeldModel{{Name: "base"}}})
+		},
+		"seen in the engine's entry": func(table *residency.Table, now time.Time) {
+			table.Reset(now)
+			table.ApplyReport(now, now, residency.Report{Models: []serving.HeldModel{{Name: "base"}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			loadTime := residency.NewLoadTimeEstimator(residency.DefaultConfig().LoadTime)
+			table := residency.NewTable(residency.DefaultConfig(), loadTime)
+			table.ApplyReport(startTime, startTime, residency.Report{Started: 1, Models: []serving.HeldModel{{Name: "base"}}})
+			table.Demand(residency.Demand{Key: key(0), Since: startTime})
+			order, due := table.NextOrder(startTime, limits, true, noActiveAdapters)
+			assert.Assert(t, due)
+			table.FinishOrder(startTime, order, residency.Accepted)
+			denied := startTime.Add(450 * time.Millisecond)
+			table.AdapterMissing(denied, key(0))
+			assert.Assert(t, loadTime.Estimate(denied) > residency.DefaultConfig().LoadTime)
+			restart(table, denied.Add(50*time.Millisecond))
+			assert.Equal(t, loadTime.Estimate(denied.Add(60*time.Millisecond)), residency.DefaultConfig().LoadTime)
+		})
+	}
+}
