A leaf tells a crash to its own relay only

Cause: a VM that saw a crash called all relays at once, a leaf too. A relay takes each VM that calls it for one of its leaves, so that several relays would pass on the leaf's use of customers' rates and its loads, each time it saw a crash.

Change: which VMs to call with urgent news is decided in the fleet package: of a relay all other relays, of a leaf its relay, which passes the news on.

Result: TestUrgentNewsReachAllRelays, on 68 VMs.

--- a/pkg/coordination/fleet/plan.go
+++ b/pkg/coordination/fleet/plan.go
@@ -193,6 +193,17 @@
 	return sortedUnique(targets)
 }
 
+// UrgentTargets returns the members to call when news must reach the whole fleet at
+// once: of a relay, all other relays too. A leaf still calls its own relay only,
+// since others would count its use and loads a second time.
+func (f *Fleet) UrgentTargets(now time.Time) []ids.VMID {
+	targets := f.Targets(now)
+	if plan := f.Plan(now); plan.Relay {
+		targets = sortedUnique(append(targets, plan.Relays...))
+	}
+	return targets
+}
+
 // retryTargets returns the VMs that are not alive and should be called: all
 // seeds, and of the members all in a full mesh, otherwise those of each data
 // centre that would be relays and one more in turn.
--- a/pkg/coordination/fleet/simulation_test.go
+++ b/pkg/coordination/fleet/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -253,3 +254,25 @@
 		}
 	})
 }
+
+// Guards against urgent news that wait for the calls of relays with lower ids, and
+// against a leaf that calls several relays, each of which would count its use.
+func TestUrgentNewsReachAllRelays(t *testing.T) {
+	s := newSimulation(4, 17)
+	s.run(20)
+	relays, leaves := 0, 0
+	for _, vm := range s.vms {
+		plan := vm.fleet.Plan(s.now)
+		urgent := vm.fleet.UrgentTargets(s.now)
+		if !plan.Relay {
+			leaves++
+			assert.DeepEqual(t, urgent, []ids.VMID{plan.HomeRelay})
+			continue
+		}
+		relays++
+		for _, relay := range plan.Relays {
+			assert.Assert(t, slices.Contains(urgent, relay))
+		}
+	}
+	assert.Assert(t, relays >= 8 && leaves >= 40, "%d relays, %d leaves", relays, leaves)
+}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -158,12 +157,11 @@
 // exchangeRound calls all targets without waiting for the replies.
 func (n *Node) exchangeRound(ctx context.Context, now time.Time) {
 	n.membersMu.Lock()
-	targets := n.fleet.Targets(now)
+	chooseTargets := n.fleet.Targets
 	if n.exchangeWithAll.Swap(false) {
-		targets = append(targets, n.fleet.Plan(now).Relays...)
-		slices.Sort(targets)
-		targets = slices.Compact(targets)
+		chooseTargets = n.fleet.UrgentTargets
 	}
+	targets := chooseTargets(now)
 	addresses := make(map[ids.VMID]string)
 	for _, id := range n.fleet.MemberIDs() {
 		addresses[id] = string(id)
--- a/pkg/node/quarantine.go
+++ b/pkg/node/quarantine.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// tellAllRelays starts an exchange with all relays at once, also with those that
-// would call this VM themselves.
+// tellAllRelays starts a round of exchanges at once: of a relay with all others,
+// also with those that would call it, and of a leaf with its relay.
 func (n *Node) tellAllRelays() {
 	n.exchangeWithAll.Store(true)
 	n.wakeExchange.wake()
