--- a/pkg/coordination/quarantine/exchange.go
+++ b/pkg/coordination/quarantine/exchange.go
@@ -81,11 +81,11 @@
 		p.confirmed = min(message.Seen, q.changes)
 	}
 	for crashID, sent := range message.Crashes {
-		at := now.Add(-time.Duration(max(sent.AgeMs, 0)) * time.Millisecond)
-		if now.Sub(at) <= q.config.Retention {
-			newCrash = newCrash || q.crashes[crashID] == nil
-			q.addCrash(now, at, crashID, sent.Suspects, sent.Cleared)
+		if sent.AgeMs < 0 || sent.AgeMs > q.config.Retention.Milliseconds() {
+			continue
 		}
+		newCrash = newCrash || q.crashes[crashID] == nil
+		q.addCrash(now, now.Add(-time.Duration(sent.AgeMs)*time.Millisecond), crashID, sent.Suspects, sent.Cleared)
 	}
 	if message.Since <= p.received {
 		p.received = max(p.received, message.Changes)
--- a/pkg/coordination/quarantine/quarantine_test.go
+++ b/pkg/coordination/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -155,6 +156,10 @@
 	}
 	q.BuildMessage(after(1000), "peer")
 	assert.Equal(t, len(q.crashes), 0)
+	for _, age := range []int64{-1, config.Retention.Milliseconds() + 1, math.MaxInt64} {
+		q.ApplyMessage(after(1000), "peer", "boot-p", "boot-q", Message{Crashes: map[CrashID]CrashMessage{"odd": {AgeMs: age, Suspects: parts{"part"}}}})
+	}
+	assert.Equal(t, len(q.crashes), 0)
 }
 
 // vm is one VM of a simulated fleet.
