--- a/pkg/coordination/endpointlimit/limits.go
+++ b/pkg/coordination/endpointlimit/limits.go
@@ -31,9 +31,9 @@
 	// MinDenial is the shortest time for which an endpoint is not asked for again
 	// after a request to it was denied.
 	MinDenial time.Duration
-	// AloneAfter is the time without a grant from any coordinator after which a
-	// VM's own share starts anew.
-	AloneAfter time.Duration
+	// OwnShareIdle is how long a VM's own share may go unused before it starts anew,
+	// so that none is saved up for the next time that a coordinator doesn't answer.
+	OwnShareIdle time.Duration
 	// MaxEndpoints bounds the endpoints whose limits are remembered.
 	MaxEndpoints int
 }
@@ -45,7 +45,7 @@
 		BurstTime:    500 * time.Millisecond,
 		Retention:    time.Minute,
 		MinDenial:    50 * time.Millisecond,
-		AloneAfter:   2 * time.Second,
+		OwnShareIdle: 2 * time.Second,
 		MaxEndpoints: 4096,
 	}
 }
@@ -70,9 +70,9 @@
 type Limits struct {
 	config Config
 	limits map[ids.EndpointID]limit
-	// granted are the buckets of the endpoints that this VM coordinates, and alone
+	// granted are the buckets of the endpoints that this VM coordinates, and ownShare
 	// those of its own share where the coordinator does not answer.
-	granted, alone map[ids.EndpointID]*bucket
+	granted, ownShare map[ids.EndpointID]*bucket
 	// deniedUntil is until when no request is sent to an endpoint.
 	deniedUntil map[ids.EndpointID]time.Time
 	// share is the part of each limit that belongs to the VMs that this VM hears,
@@ -85,7 +85,7 @@
 func New(config Config) *Limits {
 	return &Limits{
 		config: config, limits: make(map[ids.EndpointID]limit), granted: make(map[ids.EndpointID]*bucket),
-		alone: make(map[ids.EndpointID]*bucket), deniedUntil: make(map[ids.EndpointID]time.Time), share: 1,
+		ownShare: make(map[ids.EndpointID]*bucket), deniedUntil: make(map[ids.EndpointID]time.Time), share: 1,
 	}
 }
 
@@ -128,7 +128,7 @@
 	if said.rate < 0 {
 		delete(l.deniedUntil, id)
 		delete(l.granted, id)
-		delete(l.alone, id)
+		delete(l.ownShare, id)
 	}
 	l.limits[id] = said
 	return changed
@@ -138,7 +138,7 @@
 func (l *Limits) Forget(id ids.EndpointID) {
 	delete(l.limits, id)
 	delete(l.granted, id)
-	delete(l.alone, id)
+	delete(l.ownShare, id)
 	delete(l.deniedUntil, id)
 }
 
@@ -175,21 +175,21 @@
 	return l.take(now, l.granted, id, rate, max(1, rate*l.config.BurstTime.Seconds()))
 }
 
-// GrantAlone decides whether a request may be sent to an endpoint whose
+// GrantOwnShare decides whether a request may be sent to an endpoint whose
 // coordinator does not answer: within this VM's own share, which accumulates from
 // the first such request on.
-func (l *Limits) GrantAlone(now time.Time, id ids.EndpointID) (granted bool, wait time.Duration) {
+func (l *Limits) GrantOwnShare(now time.Time, id ids.EndpointID) (granted bool, wait time.Duration) {
 	rate, limited := l.Rate(now, id)
 	if !limited {
 		return true, 0
 	}
-	if b := l.alone[id]; b != nil && now.Sub(b.updatedAt) > l.config.AloneAfter {
-		delete(l.alone, id)
+	if b := l.ownShare[id]; b != nil && now.Sub(b.updatedAt) > l.config.OwnShareIdle {
+		delete(l.ownShare, id)
 	}
 	if l.vms == 0 {
-		return false, l.config.AloneAfter
+		return false, l.config.OwnShareIdle
 	}
-	return l.take(now, l.alone, id, rate/float64(l.vms), 1)
+	return l.take(now, l.ownShare, id, rate/float64(l.vms), 1)
 }
 
 // take takes a request from a bucket, which starts empty.
--- a/pkg/coordination/endpointlimit/limits_test.go
+++ b/pkg/coordination/endpointlimit/limits_test.go
@@ -97,7 +97,7 @@
 	assert.Equal(t, len(l.limits), 1)
 	l.RecordDenial(after(100), "new", time.Minute)
 	l.Prune(func(ids.EndpointID) bool { return false })
-	assert.Equal(t, len(l.limits)+len(l.granted)+len(l.alone)+len(l.deniedUntil), 0)
+	assert.Equal(t, len(l.limits)+len(l.granted)+len(l.ownShare)+len(l.deniedUntil), 0)
 }
 
 // Guards against a VM whose coordinator does not answer and that then sends
@@ -105,18 +105,18 @@
 func TestVMWithoutACoordinatorUsesItsOwnShare(t *testing.T) {
 	l := New(DefaultConfig())
 	l.RecordAnswer(after(0), "e", named(4))
-	granted, _ := l.GrantAlone(after(10), "e")
+	granted, _ := l.GrantOwnShare(after(10), "e")
 	assert.Assert(t, !granted, "the size of the fleet is not known")
 	l.SetFleet(1, 0, 8)
 	grants := 0
 	for at := 20.0; at < 30; at += 0.05 {
-		if granted, _ := l.GrantAlone(after(at), "e"); granted {
+		if granted, _ := l.GrantOwnShare(after(at), "e"); granted {
 			grants++
 		}
 	}
 	assert.Equal(t, grants, 4)
 	// A later failure of the coordinator starts anew.
-	granted, _ = l.GrantAlone(after(60), "e")
+	granted, _ = l.GrantOwnShare(after(60), "e")
 	assert.Assert(t, !granted)
 }
 
@@ -207,7 +207,7 @@
 			return granted
 		}
 	}
-	granted, _ := v.limits.GrantAlone(now, "e")
+	granted, _ := v.limits.GrantOwnShare(now, "e")
 	return granted
 }
 
--- a/pkg/node/endpoint_limits.go
+++ b/pkg/node/endpoint_limits.go
@@ -104,7 +104,7 @@
 	}
 	n.limitsMu.Lock()
 	defer n.limitsMu.Unlock()
-	return n.limits.GrantAlone(time.Now(), request.Endpoint)
+	return n.limits.GrantOwnShare(time.Now(), request.Endpoint)
 }
 
 // coordinatorCandidates returns the VMs that may coordinate the limit of an
