--- a/pkg/coordination/authority/authority_test.go
+++ b/pkg/coordination/authority/authority_test.go
@@ -291,3 +291,27 @@
 		assert.Assert(t, claim.Fence > used[i].Fence, "%s: token %d after %d", claim.DataCentre, claim.Fence, used[i].Fence)
 	}
 }
+
+// Guards against two VMs that order an engine by turns within one lease, where the
+// engine checks no fencing tokens: a holder that is cut off from all other VMs still
+// reaches the engines, and another VM takes over after the lease.
+func TestIsolatedHolderOrdersNoEngineBesideItsSuccessor(t *testing.T) {
+	holder, successor, third := newVM(0, start), newVM(2, start), newVM(4, start)
+	vms := []*vm{holder, successor, third}
+	var last order
+	for i := range 60 {
+		now := start.Add(time.Duration(i) * tick)
+		isolated := -1
+		if i >= 8 {
+			isolated = 0
+		}
+		exchangeClaims(now, vms, isolated)
+		for _, v := range vms {
+			v.authority.Tick(now, now, false, []ids.DataCentreID{dc}, v.alive(now, vms))
+			if fence, allowed := v.authority.Fence(now, dc); allowed {
+				assert.Assert(t, last.vm == "" || last.vm == v.id || now.Sub(last.at) >= lease, "%s orders %v after %s", v.id, now.Sub(last.at), last.vm)
+				last = order{vm: v.id, fence: fence, at: now}
+			}
+		}
+	}
+}
