quarantine: keep a new crash when the memory is full of others

Cause: with 64 crashes in memory, a new one was evicted before its suspects were added, since crashes without a suspect go first. From then on no part could be found until older crashes had expired.

Change: what is too much is evicted after the suspects were added.

Result: TestNewCrashesAreKeptWhenMemoryIsFull failed before and passes.

--- a/pkg/coordination/quarantine/quarantine.go
+++ b/pkg/coordination/quarantine/quarantine.go
@@ -165,7 +165,6 @@
 		c = &crash{at: at, learnedAt: now, cleared: make(map[ids.PromptPartID]bool)}
 		q.crashes[id] = c
 		q.changed(c)
-		q.evict()
 	}
 	if at.Before(c.at) {
 		c.at = at
@@ -184,6 +183,7 @@
 		c.cleared[part] = found && !started.Before(c.at.Add(-q.config.ClearBefore))
 		q.changed(c)
 	}
+	q.evict()
 }
 
 func (q *Quarantine) clear(c *crash, part ids.PromptPartID) {
--- a/pkg/coordination/quarantine/quarantine_test.go
+++ b/pkg/coordination/quarantine/quarantine_test.go
@@ -432,3 +432,16 @@
 	assert.Assert(t, refused(listener, 4, "deadly"))
 	assert.Equal(t, exchange(4, second, "boot-2"), 0)
 }
+
+// Guards against a crash that is forgotten at once because the memory is full of
+// others, so that no part is found any more.
+func TestNewCrashesAreKeptWhenMemoryIsFull(t *testing.T) {
+	q := New(DefaultConfig())
+	for i := range 2 * q.config.MaxCrashes {
+		q.RecordCrash(after(float64(i)/100), CrashID(fmt.Sprint(i)), parts{ids.PromptPartID(fmt.Sprint("rare-", i))})
+	}
+	q.RecordCrash(after(5), "a", parts{"deadly"})
+	q.RecordCrash(after(5.1), "b", parts{"deadly"})
+	assert.Assert(t, refused(q, 6, "deadly"))
+	assert.Equal(t, len(q.crashes), q.config.MaxCrashes)
+}
