A store that comes back from an older copy begins a new era (CONFIG, DENIED, DRAIN)

What callers saw: for about seven seconds after the store's return an added route was answered 404, requests ran by an older configuration, and requests reached an endpoint from two seconds after it had said that it leaves.

Cause: the mirror compared revisions of before and after the return. It skipped every item at or below the revision through which it had been complete, while each listing renewed the proof that the configuration is current.

Change: a position is an era and a revision. The era comes with each answer of the store and travels in state messages and deltas; a later era begins with a listing, an earlier one proves and changes nothing. Records that the store has lost stay in effect by their content, the version of a configuration or adapter, or the start and state of an endpoint, until they are written again; endpoints' records only for as long as the store needs to remove what is silent. VMs pass these records on, also to VMs that start or were cut off, and tell each other the age of the era. For one second a read of a new era proves nothing, since changes that no VM has seen may be lost.

--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -64,6 +64,7 @@
 	// receiver that has applied it needs no delta to reach Through.
 	LastEffect ids.Revision `json:"effect"`
 	ProofAgeMs int64        `json:"proof"`
+	eraState
 	// SentMs is the sender's uptime by its boot time when it sent the message. Echo returns that
 	// of the receiver's last message, so that the receiver knows since when this
 	// message may have been on its way.
@@ -118,6 +119,7 @@
 
 type deltaRequest struct {
 	After ids.Revision `json:"after"`
+	Era   ids.Era      `json:"era,omitempty"`
 }
 
 func (n *Node) registry() *peers.Registry {
@@ -144,6 +146,7 @@
 			n.membersMu.Unlock()
 		}
 		last = current
+		n.expireRetained()
 		n.exchangeRound(ctx, now)
 		plan := n.updateClaims(time.Now())
 		interval := exchangeInterval
@@ -199,14 +202,21 @@
 // and adopts the peer's proof that the configuration is current. asked is a boot
 // time before the peer sent its message.
 func (n *Node) catchUpFromPeer(ctx context.Context, asked time.Time, id ids.VMID, reply stateMessage) {
-	if reply.Through > n.mirror.CompleteThrough() && !n.mirror.SkipThrough(reply.Through, reply.LastEffect) {
-		delta, err := peers.Call[mirror.Delta](ctx, n.peers, id, methodDelta, deltaTimeout, deltaRequest{After: n.mirror.CompleteThrough()})
+	if n.lacks(reply) {
+		position := n.mirror.Position()
+		delta, err := peers.Call[mirror.Delta](ctx, n.peers, id, methodDelta, deltaTimeout, deltaRequest{After: position.Revision, Era: position.Era})
 		if err != nil {
 			n.countPeerFailure(id, err)
 			return
 		}
 		n.applyDelta(delta, "peer "+string(id))
 	}
+	if !n.coversPeer(reply) {
+		return
+	}
+	if reply.EraAgeMs != nil {
+		n.mirror.LearnEraAge(n.bootTime(), reply.Era, *reply.EraAgeMs)
+	}
 	if reply.ProofAgeMs >= 0 {
 		n.proofMu.Lock()
 		n.proof.ConfirmFromPeer(asked, time.Duration(reply.ProofAgeMs)*time.Millisecond, reply.Through, n.mirror.CompleteThrough())
@@ -261,14 +271,15 @@
 }
 
 func (n *Node) handleDelta(_ context.Context, _ peers.Sender, request deltaRequest) (mirror.Delta, error) {
-	return n.mirror.Since(request.After), nil
+	return n.mirror.ChangesSince(n.bootTime(), mirror.Position{Era: request.Era, Revision: request.After}), nil
 }
 
 // buildMessage returns the VM's state as a message for a peer.
 func (n *Node) buildMessage(now time.Time, to ids.VMID, scope messageScope) stateMessage {
 	s := stateMessage{ProofAgeMs: -1, TablesSeen: n.adapterIndex.seenChanges(to), SentMs: n.bootTime().Sub(n.bootTimeAtStart).Milliseconds(), Echo: n.lastSent.get(to)}
 	n.proofMu.Lock()
-	s.Through, s.LastEffect = n.mirror.CompleteThrough(), n.mirror.LastEffect()
+	status := n.mirror.Status()
+	s.Through, s.LastEffect, s.eraState = status.Revision, status.LastEffect, n.eraState(status)
 	if age, proven := n.proof.Age(n.bootTime()); proven {
 		s.ProofAgeMs = age.Milliseconds() + 1
 	}
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -31,11 +31,12 @@
 // Store reads the platform's store. Only the store loop calls it, one call at a
 // time.
 type Store interface {
-	// List returns all items and the revision at which they were read.
-	List(ctx context.Context) ([]mirror.Item, ids.Revision, error)
+	// List returns a listing of all items.
+	List(ctx context.Context) (mirror.Delta, error)
 	// Watch returns the changes after a revision as soon as there are any, or
-	// an empty delta once wait has elapsed. It returns ErrCompacted if the
-	// caller has to list again.
+	// an empty delta once wait has elapsed. The delta may be of a later era than
+	// the revision that was asked for, and is then incomplete. It returns
+	// ErrCompacted if the caller has to list again.
 	Watch(ctx context.Context, after ids.Revision, wait time.Duration) (mirror.Delta, error)
 }
 
@@ -46,6 +47,8 @@
 	// record. A configuration or version that cannot be decoded leaves the last
 	// valid one in effect; an endpoint that cannot be decoded is removed.
 	Apply(item mirror.Item) (changed bool, err error)
+	// Rank is the mirror's RankFunc. It does not depend on the applied items.
+	Rank(key string, value []byte) (mirror.Rank, bool)
 	// Config returns the current configuration, or nil if there is none yet.
 	Config() *serving.Config
 	Endpoints() map[ids.EndpointID]*serving.Endpoint
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -168,7 +168,7 @@
 		store: options.Store, records: options.Records, engines: options.Engines, headerCodec: options.HeaderCodec, client: options.Client,
 		boot: ids.BootID(uuid.NewString()[:8]), startedAt: now, bootTime: bootTime, bootTimeAtStart: bootTime(),
 		logWriter: logWriter, log: observability.NewLogger(logWriter, options.LogLevel, &observability.Redactor{}),
-		mirror: mirror.New(), directory: directory.New(), declared: newDeclaredVersions(),
+		mirror: newMirror(options.Records, settings), directory: directory.New(), declared: newDeclaredVersions(),
 		authority: authority.New(authority.Config{
 			Self: settings.Self(), DataCentre: settings.DataCentre, Cores: settings.Cores, FenceSuffix: uniqueNumber(settings.IP),
 			Lease: settings.Bounds.Lease, FirstClaimDelay: claimDelay, SuspendTime: confirmDelayAfterStall,
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -58,7 +58,9 @@
 	// work that one VM does for others.
 	Cores        float64
 	StoreAddress string
-	Bounds       Bounds
+	// EndpointHeartbeat is how often an endpoint writes its record to the store.
+	EndpointHeartbeat time.Duration
+	Bounds            Bounds
 }
 
 // Self returns the VM's id, which is its peer address.
--- /dev/null
+++ b/pkg/node/store_eras.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/state/mirror"
+)
+
+// A store that comes back from a copy begins a new era. What it has lost is
+// written again soon.
+const (
+	// eraSettleTime is the time by which operators have written again what the
+	// store has lost of their records.
+	eraSettleTime = time.Second
+	// lostEndpointHold is how long an endpoint is used that the store has lost.
+	// Endpoints that are alive are back within two seconds.
+	lostEndpointHold = 2500 * time.Millisecond
+	// heartbeatsUntilRemoved is the number of heartbeats without a word of an
+	// endpoint after which the store removes it, and revivedEndpointMargin the time
+	// that this may take longer.
+	heartbeatsUntilRemoved = 3
+	revivedEndpointMargin  = 1500 * time.Millisecond
+	defaultHeartbeat       = 1500 * time.Millisecond
+)
+
+func newMirror(records Records, settings Settings) *mirror.Mirror {
+	if records == nil {
+		return mirror.New()
+	}
+	heartbeat := settings.EndpointHeartbeat
+	if heartbeat <= 0 {
+		heartbeat = defaultHeartbeat
+	}
+	return mirror.NewWithRetention(records.Rank, mirror.RetentionConfig{
+		SettleTime:  eraSettleTime,
+		LostHold:    lostEndpointHold,
+		RevivedHold: heartbeatsUntilRemoved*heartbeat + revivedEndpointMargin,
+	})
+}
+
+// mayProve reports whether a read of the store that was sent at a boot time proves
+// that the configuration is current. Soon after a store came back from a copy,
+// changes that this VM has never seen may be missing.
+func (n *Node) mayProve(sent time.Time) bool {
+	return n.mirror.UntilSettled(sent) == 0
+}
+
+// expireRetained ends the use of endpoints' records that the store did not
+// confirm in time.
+func (n *Node) expireRetained() {
+	if n.mirror.RetainedHash() == 0 {
+		return
+	}
+	n.recordsMu.Lock()
+	defer n.recordsMu.Unlock()
+	n.applyItems(n.mirror.Expire(n.bootTime()), "end of retention")
+}
+
+// maxLoggedKeys limits the keys in one log line.
+const maxLoggedKeys = 20
+
+func (n *Node) logEra(before, after mirror.Position, from string) {
+	if before.Era == 0 {
+		return
+	}
+	retained := n.mirror.RetainedKeys()
+	age, ageKnown := n.mirror.EraAge(n.bootTime())
+	n.logInfo("store era changed", fields{
+		"era": after.Era, "through": after.Revision, "eraBefore": before.Era, "throughBefore": before.Revision, "from": from,
+		"ageKnown": ageKnown, "ageMs": age.Milliseconds(), "retained": len(retained), "retainedKeys": retained[:min(len(retained), maxLoggedKeys)],
+	})
+}
+
+// eraState is what a state message says of the sender's copy of the store.
+type eraState struct {
+	// Era is that of the revisions in the message.
+	Era ids.Era `json:"era,omitempty"`
+	// RetainedHash identifies the records of earlier eras that the sender keeps in
+	// effect; 0 for none.
+	RetainedHash uint64 `json:"retainedHash,omitempty"`
+	// EraAgeMs is the age of the era; nil if the sender does not know it.
+	EraAgeMs *int64 `json:"eraAge,omitempty"`
+}
+
+func (n *Node) eraState(status mirror.Status) eraState {
+	state := eraState{Era: status.Era, RetainedHash: status.RetainedHash}
+	if age, known := n.mirror.EraAge(n.bootTime()); known {
+		ms := age.Milliseconds()
+		state.EraAgeMs = &ms
+	}
+	return state
+}
+
+// lacks reports whether a peer's copy of the store has something that this VM's
+// lacks.
+func (n *Node) lacks(peer stateMessage) bool {
+	own := n.mirror.Status()
+	switch {
+	case peer.Era != own.Era:
+		return peer.Era > own.Era
+	case peer.RetainedHash != 0 && peer.RetainedHash != own.RetainedHash:
+		return true
+	}
+	return peer.Through > own.Revision && !n.mirror.SkipTo(mirror.Position{Era: peer.Era, Revision: peer.Through}, peer.LastEffect)
+}
+
+// coversPeer reports whether this VM's copy of the store has all that a peer's has.
+func (n *Node) coversPeer(peer stateMessage) bool {
+	own := n.mirror.Status()
+	return peer.Era == own.Era && peer.Through <= own.Revision && (peer.RetainedHash == 0 || peer.RetainedHash == own.RetainedHash)
+}
--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/caps"
+	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/directory"
@@ -91,6 +92,10 @@
 	n.membersMu.Lock()
 	plan := n.fleet.Plan(now)
 	n.membersMu.Unlock()
+	if settling := n.mirror.UntilSettled(n.bootTime()); settling > 0 && plan.PlatformReadRank != 0 {
+		// Reads don't renew the proof yet; the first relay's read does so soon after.
+		return settling + relayReadAgeStep
+	}
 	switch {
 	case plan.PlatformReadRank == 0:
 		return 0
@@ -101,35 +106,51 @@
 }
 
 func (n *Node) readStore(ctx context.Context) error {
-	through := n.mirror.CompleteThrough()
-	if through == 0 {
+	position := n.mirror.Position()
+	if position.Revision == 0 {
 		return n.listStore(ctx)
 	}
-	wait := n.maxWatchWait()
+	wait := n.watchWait()
 	ctx, cancel := context.WithTimeout(ctx, wait+watchReplyMargin)
 	defer cancel()
 	sent := n.bootTime()
 	var delta mirror.Delta
 	err := protect("store watch", func() (err error) {
-		delta, err = n.store.Watch(ctx, through, wait)
+		delta, err = n.store.Watch(ctx, position.Revision, wait)
 		return err
 	})
 	n.metrics.storeCalls.Inc(1)
 	if errors.Is(err, ErrCompacted) {
-		n.logInfo("store no longer has the requested changes, listing it", fields{"through": through})
+		n.logInfo("store no longer has the requested changes, listing it", fields{"through": position.Revision, "era": position.Era})
 		return n.listStore(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	n.applyDelta(delta, "store")
-	n.confirmProof(sent, delta.Through)
+	if delta.Era > position.Era {
+		return n.listStore(ctx)
+	}
+	if err := n.applyFromStore(sent, delta); err != nil {
+		return err
+	}
 	if len(delta.Items) > 0 {
 		sleep(ctx, pauseAfterChanges)
 	}
 	return nil
 }
 
+// watchWait returns how long the next watch may wait for changes. It does not wait
+// while the proof is old, and not beyond the time from which a read renews it.
+func (n *Node) watchWait() time.Duration {
+	if settling := n.mirror.UntilSettled(n.bootTime()); settling > 0 {
+		return max(min(settling, n.maxWatchWait()).Truncate(time.Millisecond), time.Millisecond)
+	}
+	if age, proven := n.proofAge(); !proven || age > relayReadAge {
+		return time.Millisecond
+	}
+	return n.maxWatchWait()
+}
+
 func (n *Node) maxWatchWait() time.Duration {
 	if !n.settings.Bounds.StrictRevocation {
 		return maxWatchWait
@@ -141,21 +162,32 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	sent := n.bootTime()
-	var items []mirror.Item
-	var at ids.Revision
+	var listing mirror.Delta
 	err := protect("store listing", func() (err error) {
-		items, at, err = n.store.List(ctx)
+		listing, err = n.store.List(ctx)
 		return err
 	})
 	n.metrics.storeCalls.Inc(1)
 	if err != nil {
 		return err
 	}
-	n.recordsMu.Lock()
-	changed := n.mirror.Replace(items, at)
-	n.applyItems(changed, "store listing")
-	n.recordsMu.Unlock()
-	n.confirmProof(sent, at)
+	return n.applyFromStore(sent, listing)
+}
+
+// applyFromStore applies what the store returned to a read that was sent at a boot
+// time, and takes it for a proof that the configuration is current.
+func (n *Node) applyFromStore(sent time.Time, delta mirror.Delta) error {
+	from := "store"
+	if delta.Listing {
+		from = "store listing"
+	}
+	n.applyDelta(delta, from)
+	if era := n.mirror.Position().Era; delta.Era != era {
+		return observability.NewStepError("read store", n.settings.StoreAddress, "the answer is of era %d, after one of era %d", delta.Era, era)
+	}
+	if n.mayProve(sent) {
+		n.confirmProof(sent, delta.Through)
+	}
 	return nil
 }
 
@@ -169,7 +201,12 @@
 func (n *Node) applyDelta(delta mirror.Delta, from string) {
 	n.recordsMu.Lock()
 	defer n.recordsMu.Unlock()
-	n.applyItems(n.mirror.Apply(delta), from)
+	before := n.mirror.Position()
+	changed := n.mirror.Merge(n.bootTime(), delta)
+	if after := n.mirror.Position(); after.Era != before.Era {
+		n.logEra(before, after, from)
+	}
+	n.applyItems(changed, from)
 }
 
 // applyItems decodes changed items and publishes the resulting view. Items
@@ -186,7 +223,7 @@
 		switch {
 		case err != nil:
 			n.logWarning("item ignored: it cannot be decoded", err, fields{"key": item.Key, "revision": item.Revision, "from": from})
-		case !itemChanged:
+		case !itemChanged && !item.Retained:
 			n.mirror.MarkWithoutEffect(item.Key, item.Revision)
 		}
 		effect = effect || itemChanged
--- a/pkg/protocol/ids/ids.go
+++ b/pkg/protocol/ids/ids.go
@@ -32,6 +32,9 @@
 	// Revision orders the changes of the configuration service or of the
 	// platform's store. VM lists have a separate sequence.
 	Revision uint64
+	// Era counts how often the platform's store has come back from a copy. A
+	// revision orders changes only within one era.
+	Era uint64
 	// FencingToken orders the owners of an endpoint. An order to an endpoint
 	// carries it, and an endpoint that supports fencing rejects orders with a
 	// lower token than it has seen. Package ownership uses the revision of the
--- /dev/null
+++ b/pkg/state/mirror/eras.go
@@ -0,0 +1,409 @@
+package mirror
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+)
+
+// firstEra is the highest era of a store that was never restored from a copy.
+const firstEra ids.Era = 1
+
+// Position names a state of the store. Revisions of different eras cannot be
+// compared: a store that comes back from a copy gives revisions out again.
+type Position struct {
+	Era      ids.Era      `json:"era,omitempty"`
+	Revision ids.Revision `json:"revision"`
+}
+
+// Rank orders the records of one key by their content, which holds across eras.
+type Rank struct {
+	// Order is the version that the record states, or the start of the
+	// endpoint's process.
+	Order uint64 `json:"order"`
+	// Stage orders the records with the same Order.
+	Stage Stage `json:"stage,omitempty"`
+	// Lasting is set for records that are in force until a newer one is written.
+	// Those of endpoints also end without one.
+	Lasting bool `json:"lasting,omitempty"`
+}
+
+// Stage is a stage of an endpoint's life, which only advances.
+type Stage int
+
+// Stages of a record.
+const (
+	StageInUse Stage = iota
+	StageLeaving
+	StageRemoved
+)
+
+func (r Rank) compare(other Rank) int {
+	return cmp.Or(cmp.Compare(r.Order, other.Order), cmp.Compare(r.Stage, other.Stage))
+}
+
+// RankFunc returns the rank of a record, and reports whether the record can be
+// decoded and has one.
+type RankFunc func(key string, value []byte) (Rank, bool)
+
+// Retained is the last record of a key from an earlier era that the store of the
+// current era has lost. It stays in effect instead of the store's record until it
+// is written again.
+type Retained struct {
+	Item
+	Rank Rank `json:"rank"`
+}
+
+// RetentionConfig holds the times that count from the beginning of an era.
+type RetentionConfig struct {
+	// SettleTime is the time by which lost records of operators have been written
+	// again. Until then, a read does not prove that the mirror is current.
+	SettleTime time.Duration
+	// LostHold is how long an endpoint that the store has lost stays in effect.
+	LostHold time.Duration
+	// RevivedHold is how long an endpoint stays removed, or leaving, although the
+	// store lists its older record. By then the store has removed the records of
+	// endpoints that are gone.
+	RevivedHold time.Duration
+}
+
+// NewWithRetention returns an empty mirror that keeps records across eras.
+func NewWithRetention(rank RankFunc, config RetentionConfig) *Mirror {
+	m := New()
+	m.rankRecord, m.retention = rank, config
+	return m
+}
+
+// Position returns the era, and the revision through which the mirror is
+// complete.
+func (m *Mirror) Position() Position {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return Position{Era: m.era, Revision: m.completeThrough}
+}
+
+// Status is what a VM tells its peers about its mirror.
+type Status struct {
+	Position
+	// LastEffect is the highest revision of a change that had an effect.
+	LastEffect ids.Revision
+	// RetainedHash identifies the retained records; 0 if there are none.
+	RetainedHash uint64
+}
+
+// Status returns the mirror's status at one moment.
+func (m *Mirror) Status() Status {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return Status{Position: Position{Era: m.era, Revision: m.completeThrough}, LastEffect: m.lastEffect, RetainedHash: m.retainedHash}
+}
+
+// EraAge returns the time since the beginning of the current era, as far as this
+// VM knows, and reports whether that is known: a VM that starts finds an era
+// whose beginning it has not seen.
+func (m *Mirror) EraAge(now time.Time) (time.Duration, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return now.Sub(m.eraBegan), m.eraBeginKnown
+}
+
+// maxEraAge bounds the age of an era that peers tell. All that counts from the
+// beginning of an era has ended by then.
+const maxEraAge = time.Hour
+
+// eraAge returns the age of an era that a peer told in milliseconds.
+func eraAge(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxEraAge.Milliseconds())) * time.Millisecond
+}
+
+// LearnEraAge records that an era began at least ageMs milliseconds ago, as a peer
+// told.
+func (m *Mirror) LearnEraAge(now time.Time, era ids.Era, ageMs int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if era == m.era {
+		m.learnEraAge(now, eraAge(ageMs))
+	}
+}
+
+// learnEraAge is LearnEraAge for callers that hold m.mu.
+func (m *Mirror) learnEraAge(now time.Time, age time.Duration) {
+	m.eraBeginKnown = true
+	if began := now.Add(-age); began.Before(m.eraBegan) {
+		m.eraBegan = began
+	}
+}
+
+// UntilSettled returns the time until a read proves that the mirror is current.
+func (m *Mirror) UntilSettled(now time.Time) time.Duration {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.era <= firstEra {
+		return 0
+	}
+	return max(m.eraBegan.Add(m.retention.SettleTime).Sub(now), 0)
+}
+
+// RetainedHash identifies the retained records; 0 if there are none.
+func (m *Mirror) RetainedHash() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.retainedHash
+}
+
+// RetainedKeys returns the keys of the retained records in order.
+func (m *Mirror) RetainedKeys() []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Sorted(maps.Keys(m.retained))
+}
+
+// Merge merges a delta of the store or of a peer, or a listing, and returns the
+// records that changed. A delta of a later era must be a listing; it begins that
+// era. One of an earlier era is ignored.
+func (m *Mirror) Merge(now time.Time, delta Delta) []Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case delta.Era < m.era || delta.Era > m.era && !delta.Listing:
+		return nil
+	case delta.Era > m.era:
+		return m.beginEra(now, delta)
+	}
+	changed := m.dropSuperseded(m.apply(delta))
+	if delta.Through >= m.completeThrough {
+		for _, r := range delta.Retained {
+			if m.retain(now, r) {
+				changed = append(changed, m.retained[r.Key].asItem())
+			}
+		}
+	}
+	if delta.EraAgeMs != nil {
+		m.learnEraAge(now, eraAge(*delta.EraAgeMs))
+	}
+	m.updateRetainedHash()
+	return changed
+}
+
+// beginEra replaces the mirror's copy by the first listing of a later era. The
+// caller holds m.mu.
+func (m *Mirror) beginEra(now time.Time, delta Delta) []Item {
+	before := m.inEffect()
+	candidates := make([]Retained, 0, len(before))
+	for _, key := range slices.Sorted(maps.Keys(before)) {
+		if rank, ranked := m.rankOf(before[key]); ranked {
+			candidates = append(candidates, Retained{Item: before[key], Rank: rank})
+		}
+	}
+	m.eraBeginKnown = m.era > 0 || delta.EraAgeMs != nil
+	m.eraBegan = now
+	if delta.EraAgeMs != nil {
+		m.eraBegan = now.Add(-eraAge(*delta.EraAgeMs))
+	}
+	m.era, m.completeThrough, m.lastEffect = delta.Era, delta.Through, delta.Through
+	m.gaps = []gap{{0, delta.Through}}
+	m.items, m.retained = make(map[string]Item, len(delta.Items)), make(map[string]Retained)
+	for _, item := range delta.Items {
+		m.set(item)
+	}
+	for _, candidate := range append(candidates, delta.Retained...) {
+		m.retain(now, candidate)
+	}
+	m.updateRetainedHash()
+	return changedItems(before, m.inEffect(), delta.Through)
+}
+
+// inEffect returns the record in effect of each key, deletions included. The
+// caller holds m.mu.
+func (m *Mirror) inEffect() map[string]Item {
+	records := maps.Clone(m.items)
+	for key, r := range m.retained {
+		records[key] = r.asItem()
+	}
+	return records
+}
+
+// changedItems returns the records that differ from those before. A key that is
+// no longer known was deleted.
+func changedItems(before, after map[string]Item, through ids.Revision) []Item {
+	var changed []Item
+	for key, item := range after {
+		old, known := before[key]
+		if known && old.Deleted == item.Deleted && slices.Equal(old.Value, item.Value) || !known && item.Deleted {
+			continue
+		}
+		changed = append(changed, item)
+	}
+	for key, old := range before {
+		if _, known := after[key]; !known && !old.Deleted {
+			changed = append(changed, Item{Key: key, Revision: through, Deleted: true})
+		}
+	}
+	slices.SortFunc(changed, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
+	return changed
+}
+
+func (r Retained) asItem() Item {
+	item := r.Item
+	item.Retained, item.rank = true, r.Rank
+	return item
+}
+
+// rankOf returns the rank of a record. That of a deletion is the rank of the
+// record that it deleted, in the last stage. The caller holds m.mu.
+func (m *Mirror) rankOf(item Item) (Rank, bool) {
+	switch {
+	case item.Retained:
+		return item.rank, true
+	case m.rankRecord == nil:
+		return Rank{}, false
+	case !item.Deleted:
+		return m.rankRecord(item.Key, item.Value)
+	}
+	rank, ranked := m.rankRecord(item.Key, item.deletedValue)
+	rank.Stage = StageRemoved
+	return rank, ranked && len(item.deletedValue) > 0
+}
+
+// retain keeps a record of an earlier era if it ranks above the one in effect,
+// and reports whether it did. The caller holds m.mu and updates the hash.
+func (m *Mirror) retain(now time.Time, r Retained) bool {
+	r.Item.Retained = false
+	if r.Deleted && r.Rank.Lasting {
+		return false
+	}
+	stored, known := m.items[r.Key]
+	listed := known && !stored.Deleted
+	if !r.Rank.Lasting && !now.Before(m.holdEnd(r, listed)) {
+		return false
+	}
+	if current, retained := m.retained[r.Key]; retained {
+		if current.Rank.compare(r.Rank) >= 0 {
+			return false
+		}
+	} else if listed {
+		if rank, ranked := m.rankOf(stored); ranked && rank.compare(r.Rank) >= 0 {
+			return false
+		}
+	} else if r.Deleted {
+		return false
+	}
+	m.retained[r.Key] = r
+	return true
+}
+
+// holdEnd returns until when the record of an endpoint is retained. The caller
+// holds m.mu.
+func (m *Mirror) holdEnd(r Retained, listed bool) time.Time {
+	if listed || r.Deleted {
+		return m.eraBegan.Add(m.retention.RevivedHold)
+	}
+	return m.eraBegan.Add(m.retention.LostHold)
+}
+
+// dropSuperseded drops the retained records that changes of the store supersede,
+// and returns those of the changes that are in effect. The caller holds m.mu and
+// updates the hash.
+func (m *Mirror) dropSuperseded(changed []Item) []Item {
+	if len(m.retained) == 0 {
+		return changed
+	}
+	var effective []Item
+	for _, item := range changed {
+		if r, retained := m.retained[item.Key]; retained {
+			if !m.supersedes(item, r) {
+				continue
+			}
+			delete(m.retained, item.Key)
+		}
+		effective = append(effective, item)
+	}
+	return effective
+}
+
+// supersedes reports whether a change of the store in this era ends the use of a
+// retained record.
+func (m *Mirror) supersedes(item Item, r Retained) bool {
+	if !r.Rank.Lasting && (item.Deleted || r.Deleted) {
+		// The endpoint is gone, or it has registered again.
+		return true
+	}
+	if item.Deleted {
+		return false
+	}
+	rank, ranked := m.rankOf(item)
+	return ranked && rank.compare(r.Rank) >= 0
+}
+
+// Expire ends the use of retained records of endpoints whose time is over, and
+// returns the records that take effect instead.
+func (m *Mirror) Expire(now time.Time) []Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var changed []Item
+	for _, key := range slices.Sorted(maps.Keys(m.retained)) {
+		r := m.retained[key]
+		stored, known := m.items[key]
+		listed := known && !stored.Deleted
+		if r.Rank.Lasting || now.Before(m.holdEnd(r, listed)) {
+			continue
+		}
+		delete(m.retained, key)
+		if !listed {
+			stored = Item{Key: key, Revision: m.completeThrough, Deleted: true}
+		}
+		changed = append(changed, stored)
+	}
+	if len(changed) > 0 {
+		m.updateRetainedHash()
+	}
+	return changed
+}
+
+// updateRetainedHash must be called after each change of the retained records.
+// The caller holds m.mu.
+func (m *Mirror) updateRetainedHash() {
+	if len(m.retained) == 0 {
+		m.retainedHash = 0
+		return
+	}
+	hash := fnv.New64a()
+	for _, key := range slices.Sorted(maps.Keys(m.retained)) {
+		rank := m.retained[key].Rank
+		_, _ = hash.Write([]byte(key))
+		_, _ = hash.Write(binary.BigEndian.AppendUint64([]byte{0, byte(rank.Stage)}, rank.Order))
+	}
+	m.retainedHash = max(hash.Sum64(), 1)
+}
+
+// retainedRecords returns the retained records in order of key. The caller holds
+// m.mu.
+func (m *Mirror) retainedRecords() []Retained {
+	var records []Retained
+	for _, key := range slices.Sorted(maps.Keys(m.retained)) {
+		records = append(records, m.retained[key])
+	}
+	return records
+}
+
+// ChangesSince returns what a mirror at another position lacks: the changes since
+// then, or all items if it is in an earlier era, and the retained records.
+func (m *Mirror) ChangesSince(now time.Time, after Position) Delta {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	delta := m.listing()
+	if after.Era == m.era {
+		delta = m.since(after.Revision)
+	}
+	delta.Era, delta.Retained = m.era, m.retainedRecords()
+	if m.eraBeginKnown {
+		age := now.Sub(m.eraBegan).Milliseconds()
+		delta.EraAgeMs = &age
+	}
+	return delta
+}
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -1,13 +1,16 @@
 // Package mirror holds an in-memory copy of the platform's key-value store on
 // one VM. It merges listings, watches and deltas of peers, which may arrive
 // late and out of order, and never replaces a newer revision of a key by an
-// older one. Package node reads it and updates it.
+// older one. A store that comes back from a copy begins a new era, in which
+// revisions are given out again; records that the copy lacks stay in effect
+// until they are written again. Package node reads it and updates it.
 package mirror
 
 import (
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 )
@@ -18,7 +21,14 @@
 	Value    []byte       `json:"v,omitempty"`
 	Revision ids.Revision `json:"r"`
 	Deleted  bool         `json:"d,omitempty"`
+	// Retained is set for a record of an earlier era that is in effect instead of
+	// the store's.
+	Retained bool `json:"-"`
 
+	// rank is set if Retained is, and deletedValue is the value that a deletion
+	// removed.
+	rank         Rank
+	deletedValue []byte
 	// effectiveAt is the revision of the last change that had an effect, and
 	// previousEffect that of the one before the change at Revision.
 	effectiveAt, previousEffect ids.Revision
@@ -31,6 +41,13 @@
 	// Listing is set if Items are all items instead: the sender may not know of
 	// every deletion since the revision that was asked for.
 	Listing bool `json:"listing,omitempty"`
+	// Era is that of all revisions in the delta.
+	Era ids.Era `json:"era,omitempty"`
+	// Retained are the records of earlier eras that the sender keeps in effect.
+	Retained []Retained `json:"retained,omitempty"`
+	// EraAgeMs is the age of the era, as far as the sender knows; nil if it does not
+	// know when the era began.
+	EraAgeMs *int64 `json:"eraAge,omitempty"`
 }
 
 // gap is a range of revisions within which deletions may be unknown: a listing at
@@ -49,6 +66,16 @@
 	lastEffect ids.Revision
 	// gaps are the ranges that were filled by listings, in order of revision.
 	gaps []gap
+
+	// era is that of the store's records; see eras.go. eraBegan is when it began,
+	// as far as this VM knows, which eraBeginKnown reports.
+	era           ids.Era
+	eraBegan      time.Time
+	eraBeginKnown bool
+	rankRecord    RankFunc
+	retention     RetentionConfig
+	retained      map[string]Retained
+	retainedHash  uint64
 }
 
 // New returns an empty mirror, complete through revision 0.
@@ -71,16 +98,17 @@
 	return m.lastEffect
 }
 
-// SkipThrough completes the mirror through a revision of another mirror without
-// a delta, and reports whether that was possible: whether this mirror already
-// has the other one's last change that had an effect, which must not be 0.
-func (m *Mirror) SkipThrough(through, lastEffect ids.Revision) bool {
+// SkipTo completes the mirror through the position of another mirror without a
+// delta, and reports whether that was possible: whether this mirror is in the same
+// era and already has the other one's last change that had an effect, which must
+// not be 0.
+func (m *Mirror) SkipTo(position Position, lastEffect ids.Revision) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if lastEffect == 0 || m.completeThrough < lastEffect {
+	if position.Era != m.era || lastEffect == 0 || m.completeThrough < lastEffect {
 		return false
 	}
-	m.completeThrough = max(m.completeThrough, through)
+	m.completeThrough = max(m.completeThrough, position.Revision)
 	return true
 }
 
@@ -107,7 +135,14 @@
 
 // set stores an item as a change that has an effect. The caller holds m.mu.
 func (m *Mirror) set(item Item) {
-	item.effectiveAt, item.previousEffect = item.Revision, m.items[item.Key].effectiveAt
+	before := m.items[item.Key]
+	item.effectiveAt, item.previousEffect = item.Revision, before.effectiveAt
+	switch {
+	case item.Deleted && before.Deleted:
+		item.deletedValue = before.deletedValue
+	case item.Deleted:
+		item.deletedValue = before.Value
+	}
 	m.items[item.Key] = item
 	m.lastEffect = max(m.lastEffect, item.Revision)
 }
@@ -116,11 +151,16 @@
 // mirror is complete, or the listing that replaces one. It returns the items
 // that changed the mirror.
 func (m *Mirror) Apply(delta Delta) []Item {
-	if delta.Listing {
-		return m.Replace(delta.Items, delta.Through)
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.apply(delta)
+}
+
+// apply is Apply for callers that hold m.mu.
+func (m *Mirror) apply(delta Delta) []Item {
+	if delta.Listing {
+		return m.replace(delta.Items, delta.Through)
+	}
 	changed := m.merge(delta.Items)
 	m.completeThrough = max(m.completeThrough, delta.Through)
 	return changed
@@ -132,6 +172,11 @@
 func (m *Mirror) Replace(items []Item, revision ids.Revision) []Item {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.replace(items, revision)
+}
+
+// replace is Replace for callers that hold m.mu.
+func (m *Mirror) replace(items []Item, revision ids.Revision) []Item {
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
@@ -179,6 +224,11 @@
 func (m *Mirror) Since(after ids.Revision) Delta {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	return m.since(after)
+}
+
+// since is Since for callers that hold m.mu.
+func (m *Mirror) since(after ids.Revision) Delta {
 	for _, g := range m.gaps {
 		// A mirror that is empty needs no deletions.
 		if after > g.completeThrough && after < g.listedAt {
--- a/pkg/state/mirror/mirror_test.go
+++ b/pkg/state/mirror/mirror_test.go
@@ -108,19 +108,19 @@
 	put(3, "one, a third time", false)
 	assert.Equal(t, len(a.Since(1).Items), 0)
 	assert.Equal(t, a.LastEffect(), ids.Revision(1))
-	assert.Assert(t, b.SkipThrough(a.CompleteThrough(), a.LastEffect()))
+	assert.Assert(t, b.SkipTo(a.Position(), a.LastEffect()))
 	assert.Equal(t, b.CompleteThrough(), ids.Revision(3))
 
 	put(4, "two", true)
 	put(5, "two, again", false)
-	assert.Assert(t, !b.SkipThrough(a.CompleteThrough(), a.LastEffect()), "the change at revision 4 is skipped")
+	assert.Assert(t, !b.SkipTo(a.Position(), a.LastEffect()), "the change at revision 4 is skipped")
 	assert.Equal(t, b.CompleteThrough(), ids.Revision(3))
 	delta := a.Since(b.CompleteThrough())
 	assert.Equal(t, len(delta.Items), 1)
 	b.Apply(delta)
 	assert.Equal(t, string(b.WithPrefix("x")[0].Value), "two, again")
 	a.Replace(nil, 9)
-	assert.Assert(t, !b.SkipThrough(a.CompleteThrough(), a.LastEffect()), "the removal at revision 9 is skipped")
+	assert.Assert(t, !b.SkipTo(a.Position(), a.LastEffect()), "the removal at revision 9 is skipped")
 	b.Apply(a.Since(b.CompleteThrough()))
 	assert.Equal(t, len(b.WithPrefix("x")), 0)
 }
@@ -140,7 +140,7 @@
 		if m == leaf {
 			from = peer
 		}
-		assert.Assert(t, !m.SkipThrough(from.CompleteThrough(), from.LastEffect()))
+		assert.Assert(t, !m.SkipTo(from.Position(), from.LastEffect()))
 		m.Apply(from.Since(m.CompleteThrough()))
 		assert.Equal(t, m.CompleteThrough(), ids.Revision(8))
 		assert.Equal(t, len(m.WithPrefix("gone")), 0, "the deletion is lost")
