node: a listing has its own time, also after a watch that failed

What callers saw: 503 for as long as the store needed more than 0.7 s for a listing after its return. Cause: the listing inherited the watch's context, and a watch that does not wait, since the proof is old, gets 701 ms in all; listTimeout never applied. The watch has a context of its own now.

--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -110,16 +110,8 @@
 	if position.Revision == 0 {
 		return n.listStore(ctx)
 	}
-	wait := n.watchWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+watchReplyMargin)
-	defer cancel()
 	sent := n.bootTime()
-	var delta mirror.Delta
-	err := protect("store watch", func() (err error) {
-		delta, err = n.store.Watch(ctx, position.Revision, wait)
-		return err
-	})
-	n.metrics.storeCalls.Inc(1)
+	delta, err := n.watchStore(ctx, position.Revision, n.watchWait())
 	if errors.Is(err, ErrCompacted) {
 		n.logInfo("store no longer has the requested changes, listing it", fields{"through": position.Revision, "era": position.Era})
 		return n.listStore(ctx)
@@ -139,6 +131,17 @@
 	return nil
 }
 
+func (n *Node) watchStore(ctx context.Context, after ids.Revision, wait time.Duration) (delta mirror.Delta, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchReplyMargin)
+	defer cancel()
+	err = protect("store watch", func() (err error) {
+		delta, err = n.store.Watch(ctx, after, wait)
+		return err
+	})
+	n.metrics.storeCalls.Inc(1)
+	return delta, err
+}
+
 // watchWait returns how long the next watch may wait for changes. It does not wait
 // while the proof is old, and not beyond the time from which a read renews it.
 func (n *Node) watchWait() time.Duration {
