node: VMs read a returned store one after the other

After the time in which no read renews a proof, all VMs' proofs are old, and all would have read the store at the same moment.

--- a/pkg/node/store_reader.go
+++ b/pkg/node/store_reader.go
@@ -92,17 +92,19 @@
 	n.membersMu.Lock()
 	plan := n.fleet.Plan(now)
 	n.membersMu.Unlock()
-	if settling := n.mirror.UntilSettled(n.bootTime()); settling > 0 && plan.PlatformReadRank != 0 {
-		// Reads don't renew the proof yet; the first relay's read does so soon after.
-		return settling + relayReadAgeStep
-	}
-	switch {
-	case plan.PlatformReadRank == 0:
+	if plan.PlatformReadRank == 0 {
 		return 0
-	case plan.Relay:
-		return min(relayReadAge+time.Duration(plan.PlatformReadRank-1)*relayReadAgeStep, maxRelayReadAge) - age
 	}
-	return min(leafReadAge, time.Duration(leafReadAgeShare*float64(n.settings.Bounds.MaxRevocationDelay))) - age
+	limit := min(leafReadAge, time.Duration(leafReadAgeShare*float64(n.settings.Bounds.MaxRevocationDelay)))
+	if plan.Relay {
+		limit = min(relayReadAge+time.Duration(plan.PlatformReadRank-1)*relayReadAgeStep, maxRelayReadAge)
+	}
+	if settling := n.mirror.UntilSettled(n.bootTime()); settling > 0 {
+		// No read renews a proof yet. The first relay's does soon after, which takes
+		// a while to reach the others.
+		return settling + max(limit-relayReadAge, 0) + relayReadAgeStep
+	}
+	return limit - age
 }
 
 func (n *Node) readStore(ctx context.Context) error {
@@ -208,6 +210,7 @@
 	changed := n.mirror.Merge(n.bootTime(), delta)
 	if after := n.mirror.Position(); after.Era != before.Era {
 		n.logEra(before, after, from)
+		n.wakeExchange.wake()
 	}
 	n.applyItems(changed, from)
 }
