--- a/pkg/coordination/fleet/fleet.go
+++ b/pkg/coordination/fleet/fleet.go
@@ -11,7 +11,8 @@
 package fleet
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
@@ -141,13 +142,17 @@
 	started time.Time
 	seeds   []ids.VMID
 	members map[ids.VMID]*Member
+	// sorted holds the same members, sorted by ID.
+	sorted []*Member
 	// peerRosters holds the last roster that each peer sent.
 	peerRosters map[ids.VMID]*peerRoster
 	// plan was computed at plannedAt.
 	plan      Plan
 	plannedAt time.Time
-	// roster is the roster that this VM sends, computed together with plan.
-	roster Roster
+	// roster is the roster that this VM sends. rosterStale is set if it is older
+	// than plan; only VMs that are asked for a roster build one.
+	roster      Roster
+	rosterStale bool
 	// homeChosenAt is when the home relay was chosen.
 	homeChosenAt time.Time
 	// changed is set if a member is new or has changed since the last plan.
@@ -230,11 +235,26 @@
 	if m == nil {
 		m = &Member{ID: id, discoveredAt: now}
 		f.members[id] = m
+		at, _ := slices.BinarySearchFunc(f.sorted, id, func(m *Member, id ids.VMID) int { return cmp.Compare(m.ID, id) })
+		f.sorted = slices.Insert(f.sorted, at, m)
 		f.changed = true
 	}
 	return m
 }
 
+// forgetSilent removes the members that have been silent for ForgetAfter.
+func (f *Fleet) forgetSilent(now time.Time) {
+	oldest := now.Add(-f.config.ForgetAfter)
+	f.sorted = slices.DeleteFunc(f.sorted, func(m *Member) bool {
+		silent := m.lastHeardAt().Before(oldest)
+		if silent {
+			delete(f.members, m.ID)
+			delete(f.peerRosters, m.ID)
+		}
+		return silent
+	})
+}
+
 // alive reports whether a member was heard recently, directly or through a
 // relay.
 func (f *Fleet) alive(now time.Time, m *Member) bool {
@@ -248,7 +268,25 @@
 
 // Alive returns the members that were heard recently, sorted by ID.
 func (f *Fleet) Alive(now time.Time) []Member {
-	return f.filter(func(m *Member) bool { return f.alive(now, m) })
+	members := f.aliveMembers(now)
+	alive := make([]Member, len(members))
+	for i, m := range members {
+		alive[i] = *m
+	}
+	return alive
+}
+
+// aliveMembers is Alive without copies, for use within one call. It compares with
+// the oldest times allowed, which takes less time than alive for each member.
+func (f *Fleet) aliveMembers(now time.Time) []*Member {
+	alive := make([]*Member, 0, len(f.sorted))
+	oldestDirect, oldestRelayed := now.Add(-f.config.SuspectAfter), now.Add(-f.config.RelayedSuspectAfter)
+	for _, m := range f.sorted {
+		if m.Boot != "" && (!m.LastRelayedAt.Before(oldestRelayed) || !m.LastDirectAt.Before(oldestDirect)) {
+			alive = append(alive, m)
+		}
+	}
+	return alive
 }
 
 // Suspected returns the members that became silent without announcing that
@@ -317,12 +355,11 @@
 // ID.
 func (f *Fleet) filter(include func(*Member) bool) []Member {
 	var found []Member
-	for _, m := range f.members {
+	for _, m := range f.sorted {
 		if include(m) {
 			found = append(found, *m)
 		}
 	}
-	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
 	return found
 }
 
--- a/pkg/coordination/fleet/fleet_test.go
+++ b/pkg/coordination/fleet/fleet_test.go
@@ -1,10 +1,14 @@
 package fleet_test
 
 import (
+	"fmt"
+	"maps"
+	"sort"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fleet"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
@@ -56,6 +60,84 @@
 	assert.Equal(t, len(f.MemberIDs()), 0)
 }
 
+// Guards against a member that was forgotten and is listed twice, or not at all,
+// when it returns.
+func TestForgottenMemberReturnsOnce(t *testing.T) {
+	f := newFleet()
+	for _, id := range []ids.VMID{"c", "a", "b"} {
+		f.ApplyAnnouncement(start, announce(id, "1"))
+	}
+	later := start.Add(2 * time.Minute)
+	f.ApplyAnnouncement(later, announce("b", "1"))
+	f.Targets(later)
+	assert.DeepEqual(t, f.MemberIDs(), []ids.VMID{"b"})
+	f.ApplyAnnouncement(later, announce("c", "2"))
+	f.ApplyAnnouncement(later, announce("a", "2"))
+	var alive []ids.VMID
+	for _, m := range f.Alive(later) {
+		alive = append(alive, m.ID)
+	}
+	assert.DeepEqual(t, alive, []ids.VMID{"a", "b", "c"})
+	assert.Equal(t, len(f.Roster(later, "d").Entries), 3)
+}
+
+// Guards against relays that are not the first of their data centre in the order of
+// preference, whatever the order in which a VM hears of the others: VMs would
+// disagree about the relays.
+func TestRelaysAreTheFirstOfEachDataCentre(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := fleet.DefaultConfig()
+		config.MeshSize = 0
+		now := start.Add(config.MinRelayUptime)
+		draw := func(id ids.VMID) fleet.Announcement {
+			return fleet.Announcement{
+				ID: id, Boot: "1", DataCentre: rapid.SampledFrom([]ids.DataCentreID{"dc-0", "dc-1"}).Draw(t, "dc"),
+				UptimeMs: rapid.SampledFrom([]int64{0, 1499, 1500, 9000}).Draw(t, "uptime"),
+				Cores:    rapid.SampledFrom([]float64{0.2, 0.8}).Draw(t, "cores"),
+				Leaving:  rapid.Bool().Draw(t, "leaving"), OrdersEngines: rapid.IntRange(0, 4).Draw(t, "orders") == 0,
+			}
+		}
+		self := draw("vm-05")
+		self.UptimeMs = 1500
+		f := fleet.New(config, start, self, nil)
+		all := []fleet.Announcement{self}
+		for _, i := range rapid.Permutation([]int{0, 1, 2, 3, 4, 6, 7, 8, 9}).Draw(t, "heard") {
+			all = append(all, draw(ids.VMID(fmt.Sprintf("vm-%02d", i))))
+			f.ApplyAnnouncement(now, all[len(all)-1])
+		}
+		settled := func(a fleet.Announcement) bool { return a.UptimeMs >= config.MinRelayUptime.Milliseconds() }
+		sort.Slice(all, func(i, j int) bool {
+			a, b := all[i], all[j]
+			if a.Leaving != b.Leaving {
+				return b.Leaving
+			}
+			if settled(a) != settled(b) {
+				return settled(a)
+			}
+			return a.PreferredOver(b)
+		})
+		relays := make(map[ids.VMID]bool)
+		chosen := make(map[ids.DataCentreID]int)
+		for _, a := range all {
+			if chosen[a.DataCentre] < config.RelaysPerDataCentre || a.OrdersEngines {
+				relays[a.ID] = true
+			}
+			chosen[a.DataCentre]++
+		}
+		plan := f.Plan(now)
+		got := map[ids.VMID]bool{}
+		for _, id := range plan.Relays {
+			got[id] = true
+		}
+		if plan.Relay {
+			got[self.ID] = true
+		}
+		if !maps.Equal(got, relays) {
+			t.Fatalf("relays %v, want %v", got, relays)
+		}
+	})
+}
+
 // Guards against a VM that takes itself, or the part of the fleet that it
 // reaches, for all of it: after a start while the data centres are cut off from
 // each other, the others count with as many VMs as its own.
--- a/pkg/coordination/fleet/plan.go
+++ b/pkg/coordination/fleet/plan.go
@@ -2,7 +2,7 @@
 
 import (
 	"hash/fnv"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
@@ -46,19 +46,30 @@
 	settled bool
 }
 
+// before reports whether c becomes a relay of its data centre before other does.
+func (c *candidate) before(other *candidate) bool {
+	if c.Leaving != other.Leaving {
+		return other.Leaving
+	}
+	if c.settled != other.settled {
+		return c.settled
+	}
+	return c.PreferredOver(other.Announcement)
+}
+
 // Plan returns this VM's current plan, based on what it knows of the fleet.
 // It recomputes the plan when a member is new or has changed, or when the
 // plan is older than Config.MaxPlanAge.
 func (f *Fleet) Plan(now time.Time) Plan {
 	if f.changed || f.plannedAt.IsZero() || now.Sub(f.plannedAt) >= f.config.MaxPlanAge {
 		f.plan, f.plannedAt, f.changed = f.computePlan(now), now, false
-		f.roster = f.buildRoster(now)
+		f.rosterStale = true
 	}
 	return f.plan
 }
 
 func (f *Fleet) computePlan(now time.Time) Plan {
-	alive := f.Alive(now)
+	alive := f.aliveMembers(now)
 	plan := Plan{Mesh: len(f.members)+1 <= f.config.MeshSize}
 	relays := f.relays(now, alive, plan.Mesh)
 	_, plan.Relay = relays[f.self.ID]
@@ -86,30 +97,32 @@
 }
 
 // relays returns all relays, including this VM if it is one.
-func (f *Fleet) relays(now time.Time, alive []Member, mesh bool) map[ids.VMID]bool {
+func (f *Fleet) relays(now time.Time, alive []*Member, mesh bool) map[ids.VMID]bool {
 	relays := make(map[ids.VMID]bool)
-	byDataCentre := make(map[ids.DataCentreID][]candidate)
-	self := candidate{Announcement: f.self, settled: now.Sub(f.started) >= f.config.MinRelayUptime}
-	byDataCentre[f.self.DataCentre] = append(byDataCentre[f.self.DataCentre], self)
-	for i := range alive {
-		m := &alive[i]
-		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], candidate{m.announcement(), now.Sub(m.Started) >= f.config.MinRelayUptime})
-	}
-	for _, candidates := range byDataCentre {
-		sort.Slice(candidates, func(i, j int) bool {
-			a, b := candidates[i], candidates[j]
-			if a.Leaving != b.Leaving {
-				return b.Leaving
-			}
-			if a.settled != b.settled {
-				return a.settled
-			}
-			return a.PreferredOver(b.Announcement)
-		})
-		for i, c := range candidates {
-			if mesh || i < f.config.RelaysPerDataCentre || c.OrdersEngines {
-				relays[c.ID] = true
-			}
+	// first holds the first RelaysPerDataCentre candidates in order of preference.
+	first := make(map[ids.DataCentreID][]candidate)
+	add := func(c candidate) {
+		if mesh || c.OrdersEngines {
+			relays[c.ID] = true
+		}
+		best := first[c.DataCentre]
+		at := len(best)
+		for at > 0 && c.before(&best[at-1]) {
+			at--
+		}
+		if at < f.config.RelaysPerDataCentre {
+			best = slices.Insert(best, at, c)
+			first[c.DataCentre] = best[:min(len(best), f.config.RelaysPerDataCentre)]
+		}
+	}
+	latestStart := now.Add(-f.config.MinRelayUptime)
+	add(candidate{Announcement: f.self, settled: !f.started.After(latestStart)})
+	for _, m := range alive {
+		add(candidate{m.announcement(), !m.Started.After(latestStart)})
+	}
+	for _, best := range first {
+		for i := range best {
+			relays[best[i].ID] = true
 		}
 	}
 	return relays
@@ -118,10 +131,9 @@
 // chooseHomeRelay keeps the current home relay while it answers. Otherwise it
 // picks a relay of the data centre by a hash of this VM's ID, so that the
 // leaves spread over the relays.
-func (f *Fleet) chooseHomeRelay(now time.Time, relays map[ids.VMID]bool, alive []Member) ids.VMID {
+func (f *Fleet) chooseHomeRelay(now time.Time, relays map[ids.VMID]bool, alive []*Member) ids.VMID {
 	var otherRelays []ids.VMID
-	for i := range alive {
-		m := &alive[i]
+	for _, m := range alive {
 		if m.DataCentre != f.self.DataCentre || !relays[m.ID] {
 			continue
 		}
@@ -161,12 +173,7 @@
 // so of two relays only the one with the lower ID calls, unless it is silent.
 // Targets forgets members that have been silent for ForgetAfter.
 func (f *Fleet) Targets(now time.Time) []ids.VMID {
-	for id, m := range f.members {
-		if now.Sub(m.lastHeardAt()) > f.config.ForgetAfter {
-			delete(f.members, id)
-			delete(f.peerRosters, id)
-		}
-	}
+	f.forgetSilent(now)
 	plan := f.Plan(now)
 	var targets []ids.VMID
 	call := func(id ids.VMID) {
@@ -215,14 +222,19 @@
 		}
 	}
 	notAlive := make(map[ids.DataCentreID][]Announcement)
-	for _, m := range f.members {
+	for _, m := range f.sorted {
 		if !f.alive(now, m) {
 			notAlive[m.DataCentre] = append(notAlive[m.DataCentre], m.announcement())
 		}
 	}
 	f.retryRound++
 	for _, group := range notAlive {
-		sort.Slice(group, func(i, j int) bool { return group[i].PreferredOver(group[j]) })
+		slices.SortFunc(group, func(a, b Announcement) int {
+			if a.PreferredOver(b) {
+				return -1
+			}
+			return 1
+		})
 		for i, m := range group {
 			if mesh || i < f.config.RelaysPerDataCentre || i == f.retryRound%len(group) {
 				retryTargets = append(retryTargets, m.ID)
@@ -234,12 +246,6 @@
 
 // sortedUnique sorts list in place and removes duplicates.
 func sortedUnique(list []ids.VMID) []ids.VMID {
-	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
-	kept := list[:0]
-	for i, id := range list {
-		if i == 0 || id != list[i-1] {
-			kept = append(kept, id)
-		}
-	}
-	return kept
+	slices.Sort(list)
+	return slices.Compact(list)
 }
--- a/pkg/coordination/fleet/roster.go
+++ b/pkg/coordination/fleet/roster.go
@@ -50,6 +50,9 @@
 	if plan := f.Plan(now); !plan.Relay && slices.Contains(plan.Relays, to) {
 		return Roster{}
 	}
+	if f.rosterStale {
+		f.roster, f.rosterStale = f.buildRoster(now), false
+	}
 	roster := f.roster
 	if received := f.peerRosters[to]; received != nil && received.ackedVersion == roster.Version {
 		roster.Entries = nil
@@ -57,12 +60,13 @@
 	return roster
 }
 
-// buildRoster lists the members that are alive.
+// buildRoster returns the roster of the members that are alive.
 func (f *Fleet) buildRoster(now time.Time) Roster {
-	var roster Roster
+	alive := f.aliveMembers(now)
+	roster := Roster{Entries: make([]RosterEntry, 0, len(alive))}
 	hash := fnv.New64a()
-	for _, m := range f.Alive(now) {
-		entry := RosterEntry{Announcement: m.announcement(), Leaf: !m.Relay && f.heardDirectly(now, &m)}
+	for _, m := range alive {
+		entry := RosterEntry{Announcement: m.announcement(), Leaf: !m.Relay && f.heardDirectly(now, m)}
 		entry.UptimeMs = now.Sub(m.Started).Milliseconds()
 		roster.Entries = append(roster.Entries, entry)
 		_, _ = hash.Write([]byte(m.ID))
@@ -108,7 +112,7 @@
 	}
 	if len(roster.Entries) > 0 {
 		f.expireAbsent(now, from.ID, received.entries, roster.Entries)
-		received.version, received.entries = roster.Version, nil
+		received.version, received.entries = roster.Version, make([]peerRosterEntry, 0, len(roster.Entries))
 		for _, entry := range roster.Entries {
 			received.entries = append(received.entries, peerRosterEntry{entry, now.Add(-time.Duration(entry.UptimeMs) * time.Millisecond)})
 			f.addUnconfirmed(now, entry.Announcement)
@@ -117,7 +121,8 @@
 	if received.version != roster.Version {
 		return
 	}
-	for _, entry := range received.entries {
+	for i := range received.entries {
+		entry := &received.entries[i]
 		if entry.ID != f.self.ID && from.Relay && (entry.Leaf || from.ID == f.plan.HomeRelay) {
 			f.applyRelayedEntry(now, from.ID, entry)
 		}
@@ -127,7 +132,7 @@
 // applyRelayedEntry records what a relay reported about a member. While the
 // member is heard directly, its own announcements are newer and take
 // precedence.
-func (f *Fleet) applyRelayedEntry(now time.Time, viaRelay ids.VMID, entry peerRosterEntry) {
+func (f *Fleet) applyRelayedEntry(now time.Time, viaRelay ids.VMID, entry *peerRosterEntry) {
 	m := f.getOrAdd(now, entry.ID)
 	if !f.heardDirectly(now, m) {
 		f.updateMember(m, entry.Announcement, entry.started)
