--- a/pkg/coordination/endpointlimit/limits_test.go
+++ b/pkg/coordination/endpointlimit/limits_test.go
@@ -128,8 +128,9 @@
 	down   bool
 	// cut is set while the VM exchanges nothing with the others.
 	cut bool
-	// heardAt is when the VM last heard each other one.
-	heardAt map[ids.VMID]time.Time
+	// heardAt is when the VM last heard each of the simulation's VMs; zero for those
+	// that it has not heard since its start.
+	heardAt []time.Time
 }
 
 // simulation is a fleet that sends requests to one endpoint with a limit.
@@ -153,7 +154,7 @@
 func newSimulation(seed uint64, vms int, rate float64) *simulation {
 	s := &simulation{rng: rand.New(rand.NewPCG(seed, 2)), rate: rate, excusedAt: make(map[ids.VMID]time.Time)}
 	for i := range vms {
-		v := &simulatedVM{id: ids.VMID(fmt.Sprintf("vm-%d", i)), upAt: t0.Add(-time.Minute)}
+		v := &simulatedVM{id: ids.VMID(fmt.Sprintf("vm-%d", i)), upAt: t0.Add(-time.Minute), heardAt: make([]time.Time, vms)}
 		v.start()
 		s.vms = append(s.vms, v)
 	}
@@ -161,25 +162,32 @@
 }
 
 func (v *simulatedVM) start() {
-	v.limits, v.heardAt, v.down = New(DefaultConfig()), make(map[ids.VMID]time.Time), false
+	v.limits, v.down = New(DefaultConfig()), false
+	clear(v.heardAt)
 }
 
 // exchange lets VMs hear each other and tell the limits, every 300 ms.
 func (s *simulation) exchange(now time.Time) {
-	for _, a := range s.vms {
+	for i, a := range s.vms {
+		if a.down || a.cut {
+			continue
+		}
+		reports := a.limits.Reports(now, now.Add(-time.Second))
 		for _, b := range s.vms {
-			if a != b && !a.down && !b.down && !a.cut && !b.cut {
-				b.heardAt[a.id] = now
-				b.limits.ApplyReports(now, a.limits.Reports(now, now.Add(-time.Second)))
+			if a != b && !b.down && !b.cut {
+				b.heardAt[i] = now
+				b.limits.ApplyReports(now, reports)
 			}
 		}
 	}
 	for _, v := range s.vms {
 		heard, unheard := 1, 0
 		for _, at := range v.heardAt {
-			if now.Sub(at) <= suspectAfter {
+			switch {
+			case at.IsZero():
+			case now.Sub(at) <= suspectAfter:
 				heard++
-			} else {
+			default:
 				unheard++
 			}
 		}
@@ -194,9 +202,9 @@
 // grant asks the coordinator that a VM sees.
 func (s *simulation) grant(now time.Time, v *simulatedVM) bool {
 	candidates := []ids.VMID{v.id}
-	for id, at := range v.heardAt {
+	for i, at := range v.heardAt {
 		if now.Sub(at) <= suspectAfter {
-			candidates = append(candidates, id)
+			candidates = append(candidates, s.vms[i].id)
 		}
 	}
 	coordinator := Coordinator("e", candidates)
