Log and count each answer that is cut

A caller whose connection was closed inside its answer left a request line with the last refusal as its reason, without the bytes that it had received and without a word on what the engine had done. So a stream that its engine broke off looked like one that this VM gave up. The new line 'answer cut' has the cause, how the last send ended, the engine's silence and the bytes; answers_cut counts by cause.

--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -71,6 +71,12 @@
 	// lastEventID is the id of the last event sent to the caller.
 	lastEventID     string
 	responseStarted bool
+	// bodyBytes counts the bytes of the body that were written to the caller.
+	bodyBytes int64
+	// lastSend is the result of the last send that has ended, and engineSilence
+	// the time between the last bytes from its endpoint and its end.
+	lastSend      sendResult
+	engineSilence time.Duration
 	firstByteAt     time.Time
 	lastChunkAt     time.Time
 	// longestGap is the longest pause between two chunks of a stream.
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -181,7 +181,7 @@
 // started, it aborts the connection instead.
 func (n *Node) fail(w http.ResponseWriter, p *requestState, failed *refusal) {
 	if p.responseStarted {
-		n.logIncomplete(p, "cut", 0, failed.reason)
+		n.logCut(p, failed.reason)
 		abortConnection()
 		return
 	}
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -86,7 +86,19 @@
 
 // logIncomplete logs a request whose caller did not get a complete answer.
 func (n *Node) logIncomplete(p *requestState, outcome string, status int, reason string) {
-	n.logRequest(p, outcome, status, reason, 0)
+	n.logRequest(p, outcome, status, reason, p.bodyBytes)
+}
+
+// logCut logs a request whose caller's connection is closed before the answer is
+// complete, and counts it by what the engine did last.
+func (n *Node) logCut(p *requestState, reason string) {
+	cause := p.lastSend.cutCause()
+	n.metrics.root.Scope.Tagged(map[string]string{"cause": string(cause)}).Counter("answers_cut").Inc(1)
+	n.logInfo("answer cut", fields{
+		"request": p.request.ID, "endpoint": p.lastEndpoint, "cause": cause, "reason": reason, "lastSend": p.lastSend.reason,
+		"engineSilenceMs": p.engineSilence.Milliseconds(), "bytes": p.bodyBytes, "lastEvent": p.lastEventID, "sends": p.sends, "runs": p.possibleRuns,
+	})
+	n.logIncomplete(p, "cut", 0, reason)
 }
 
 func (n *Node) logRequest(p *requestState, outcome string, status int, reason string, bytes int64) {
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -35,11 +35,37 @@
 	// engineEnded if that was because the engine's process ended under a request
 	// whose answer had not begun.
 	connectionLost, engineEnded bool
+	// silent is set if this VM ended the send since the endpoint sent nothing for
+	// too long, and timeOver if the request's time limit was reached.
+	silent, timeOver bool
 
 	reason string
 	bytes  int64
 }
 
+// cutCause says what ended the last send before a caller's connection had to be
+// closed inside the answer.
+type cutCause string
+
+const (
+	// cutEngineBroke means that the engine broke the answer off or shed the
+	// resumed request, cutEngineSilent that this VM gave the send up since the
+	// engine was silent, and cutTimeLimit that the request's time was over.
+	cutEngineBroke  cutCause = "engine broke off"
+	cutEngineSilent cutCause = "engine silent"
+	cutTimeLimit    cutCause = "time limit"
+)
+
+func (r sendResult) cutCause() cutCause {
+	switch {
+	case r.silent:
+		return cutEngineSilent
+	case r.timeOver:
+		return cutTimeLimit
+	}
+	return cutEngineBroke
+}
+
 // silenceTimer cancels a send if the endpoint sends nothing for too long.
 type silenceTimer struct {
 	timer *time.Timer
@@ -91,14 +117,16 @@
 	n.balancer.Begin(now, e.ID)
 	n.balanceMu.Unlock()
 	p.lastEndpoint = e.ID
-	tracker := &sendTracker{node: n, endpoint: e, sent: now, prefillGrant: &p.prefillGrant}
+	tracker := &sendTracker{node: n, endpoint: e, sent: now, lastBytes: now, prefillGrant: &p.prefillGrant}
 	result := n.roundTrip(sendCtx, w, p, e, left, silence, tracker)
 	if result.shed {
 		p.possibleRuns--
 	}
 	if silence.fired.Load() && !result.done {
-		result.reason = "endpoint silent"
+		result.reason, result.silent = "endpoint silent", true
 	}
+	result.timeOver = !result.done && !time.Now().Before(p.request.Deadline)
+	p.lastSend, p.engineSilence = result, time.Since(tracker.lastBytes)
 	tracker.recordEnd(balancerOutcome(result, ctx.Err() != nil && !silence.fired.Load()), result.reason)
 	if result.connectionLost && !tracker.answerBegan && sendCtx.Err() == nil {
 		result.engineEnded = n.examineBrokenSend(p, e, now, result.reason)
@@ -117,6 +145,9 @@
 	// arrived.
 	answerBegan  bool
 	prefillGrant *prefillGrant
+	// lastBytes is when the endpoint last sent a part of the answer's body; at
+	// first it is the time of the send.
+	lastBytes time.Time
 }
 
 // recordAnswerBegan is called when a whole event of a stream, or another answer,
@@ -261,7 +292,9 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(response.StatusCode)
 	p.responseStarted = true
-	if _, err := w.Write(body); err != nil {
+	count, err := w.Write(body)
+	p.bodyBytes += int64(count)
+	if err != nil {
 		return sendResult{reason: "caller left: " + err.Error()}
 	}
 	return sendResult{done: true, status: response.StatusCode, bytes: int64(len(body))}
--- a/pkg/node/stream.go
+++ b/pkg/node/stream.go
@@ -33,7 +33,8 @@
 		count, err := response.Body.Read(buffer)
 		if count > 0 {
 			tracker.recordFirstByte(true)
-			p.recordGap(time.Now())
+			tracker.lastBytes = time.Now()
+			p.recordGap(tracker.lastBytes)
 			ready, eventEnded, tooLong := events.add(buffer[:count])
 			if tooLong != nil {
 				result.reason = "stream broke off: " + tooLong.Error()
@@ -79,7 +80,8 @@
 		p.responseStarted = true
 		p.firstByteAt = time.Now()
 	}
-	_, err := w.Write(ready)
+	count, err := w.Write(ready)
+	p.bodyBytes += int64(count)
 	return err
 }
 
