Answer a request whose handler panics

A panic in a handler closed the caller's connection without an answer or a refusal, and kept the request's grant and its place in the engine's load. Now the caller gets 503 if the request has not been sent, and 502 if it may have run, without any header of an endpoint's answer; the line 'handler failed' has the request's id and the stack. A stream that has begun is still cut.

--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -77,45 +77,49 @@
 	// the time between the last bytes from its endpoint and its end.
 	lastSend      sendResult
 	engineSilence time.Duration
-	firstByteAt     time.Time
-	lastChunkAt     time.Time
+	firstByteAt   time.Time
+	lastChunkAt   time.Time
 	// longestGap is the longest pause between two chunks of a stream.
 	longestGap time.Duration
 	charged    bool
 }
 
-// admit reads a request and decides whether it may be served. It returns a
-// refusal if not.
-func (n *Node) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*requestState, *refusal) {
-	call, err := n.headerCodec.ParseRequest(r.Header)
-	p := &requestState{
-		request: &serving.Request{ID: call.RequestID, Arrived: arrived},
+func (n *Node) newRequestState(r *http.Request, arrived time.Time) *requestState {
+	return &requestState{
+		request: &serving.Request{Arrived: arrived},
 		header:  r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
 		excluded: make(map[ids.EndpointID]bool), fullEngines: make(map[ids.EndpointID]bool),
 		pickSalt: n.pickSalt.Add(1),
 	}
+}
+
+// admit reads a request and decides whether it may be served. It returns a
+// refusal if not.
+func (n *Node) admit(w http.ResponseWriter, r *http.Request, p *requestState) *refusal {
+	call, err := n.headerCodec.ParseRequest(r.Header)
+	p.request.ID = call.RequestID
 	if err != nil {
-		return p, refuseStatus(http.StatusBadRequest, err.Error())
+		return refuseStatus(http.StatusBadRequest, err.Error())
 	}
 	if !strings.HasPrefix(p.target, "/") {
-		return p, refuseStatus(http.StatusBadRequest, "the request target is not a path")
+		return refuseStatus(http.StatusBadRequest, "the request target is not a path")
 	}
 	view := n.directory.View()
 	if view.Config == nil {
-		return p, refuseNoConfig("no configuration yet")
+		return refuseNoConfig("no configuration yet")
 	}
 	p.setCall(call)
 	if refused := n.authenticate(view, p, call.Key); refused != nil {
-		return p, refused
+		return refused
 	}
 	p.setDeadline(call.TimeLeft)
 	if refused := p.readBody(w, r, view.Config.Limits.BodyBytes); refused != nil {
-		return p, refused
+		return refused
 	}
 	if refused := n.checkQuarantine(p); refused != nil {
-		return p, refused
+		return refused
 	}
-	return p, n.chargeCustomer(time.Now(), p, call)
+	return n.chargeCustomer(time.Now(), p, call)
 }
 
 func (p *requestState) setCall(call Call) {
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
+	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 )
@@ -40,8 +43,13 @@
 	}
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
-	p, refused := n.admit(w, r, arrived)
-	if refused != nil {
+	p := n.newRequestState(r, arrived)
+	defer func() {
+		if cause := recover(); cause != nil {
+			n.endAfterPanic(w, p, cause)
+		}
+	}()
+	if refused := n.admit(w, r, p); refused != nil {
 		n.refuse(w, p, refused)
 		return
 	}
@@ -188,6 +196,29 @@
 	n.refuse(w, p, failed)
 }
 
+// endAfterPanic answers a request whose handler panicked; net/http would close
+// the caller's connection without an answer. A panic of abortConnection goes on.
+func (n *Node) endAfterPanic(w http.ResponseWriter, p *requestState, cause any) {
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	n.log.WithFields(fields{
+		observability.FieldStep: "handler failed", "request": p.request.ID, "endpoint": p.lastEndpoint, "sends": p.sends,
+		"error": fmt.Sprint(cause), "stack": string(debug.Stack()),
+	}).Error("handler failed")
+	n.releaseGrant(&p.prefillGrant, false)
+	failed := refuseBusy(retryNoEndpoint, "internal error")
+	if p.possibleRuns > 0 {
+		failed = failMayHaveRun("internal error")
+	}
+	if !p.responseStarted {
+		// The header may hold a part of an endpoint's answer.
+		clear(w.Header())
+		w.Header().Set("Connection", "close")
+	}
+	n.fail(w, p, failed)
+}
+
 // abortConnection closes the caller's connection, so that an incomplete answer
 // never looks complete. It does not return.
 func abortConnection() { panic(http.ErrAbortHandler) }
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -118,7 +118,15 @@
 	n.balanceMu.Unlock()
 	p.lastEndpoint = e.ID
 	tracker := &sendTracker{node: n, endpoint: e, sent: now, lastBytes: now, prefillGrant: &p.prefillGrant}
+	ended := false
+	defer func() {
+		// After a panic, the endpoint no longer works on this send.
+		if !ended {
+			tracker.recordEnd(balance.Abandoned, "handler failed")
+		}
+	}()
 	result := n.roundTrip(sendCtx, w, p, e, left, silence, tracker)
+	ended = true
 	if result.shed {
 		p.possibleRuns--
 	}
