Treat an answer below status 200 as a failed send

An engine's answer with a status below 100 made the handler panic in WriteHeader, which closed the caller's connection without an answer; 101 was passed on although no protocol was asked for. Both now count as unusable, so that the request goes to another endpoint if it may, or is answered with 502.

TestAnswerWithoutAFinalStatusIsNotPassedOn failed before on all four routes for 000, 099 (handler failed) and 101 (passed on).

--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -242,6 +242,10 @@
 // it may be.
 func unusableReason(status int, answer Answer) string {
 	switch {
+	case status < http.StatusOK:
+		// net/http sends no such status as the final one of an answer, and panics if
+		// it is below 100.
+		return "status " + strconv.Itoa(status) + " does not end an answer"
 	case !answer.Signed:
 		return "the answer is not signed"
 	case answer.Encoded:
