Keep a silent endpoint's answer until another endpoint is sure

Callers of resumable streams and of safe requests lost answers of sound engines that were silent for about a second: the send was cancelled at its engine before anything allowed the request to go on elsewhere. If the retry budget was spent, no other engine held the adapter, the owner gave no grant, the endpoint's limit was reached or, beside a change of the configuration, the key was withdrawn, the caller's connection was closed inside the answer, or the caller got 401 or 502 for a request that was running.

A silent endpoint now starts a search for another one beside the send. The send is cancelled only when the other endpoint can get the request at once, so the request never runs at both. An endpoint that goes on meanwhile keeps it. When a search finds none it is repeated; a dead endpoint is left as before. pkg/coordination/handover decides, with times as arguments.

--- /dev/null
+++ b/pkg/coordination/handover/handover.go
@@ -0,0 +1,44 @@
+// Package handover decides when a request whose endpoint is silent may go on at
+// another endpoint. A sound endpoint may be silent for a while and go on, so its
+// answer ends only once another endpoint is sure. Times are arguments; nothing
+// here talks to the network.
+package handover
+
+import "time"
+
+// Watch follows one send. It is not safe for concurrent use.
+type Watch struct {
+	// limit is how long the endpoint may be silent; 0 means that the request must
+	// not go on elsewhere.
+	limit      time.Duration
+	progressAt time.Time
+	ended      bool
+}
+
+// New returns the watch of a send that begins now.
+func New(now time.Time, limit time.Duration) *Watch {
+	return &Watch{limit: limit, progressAt: now}
+}
+
+// Progress records that the endpoint has sent something that counts, and the
+// limit from then on.
+func (w *Watch) Progress(now time.Time, limit time.Duration) { w.progressAt, w.limit = now, limit }
+
+// End records that the send has ended or that it is handed over.
+func (w *Watch) End() { w.ended = true }
+
+// UntilSearch returns the time until another endpoint is to be looked for, which
+// is 0 from then on. It reports whether that may come at all.
+func (w *Watch) UntilSearch(now time.Time) (time.Duration, bool) {
+	if w.ended || w.limit <= 0 {
+		return 0, false
+	}
+	return max(w.progressAt.Add(w.limit).Sub(now), 0), true
+}
+
+// MayHandOver reports whether the request may go on at an endpoint that was found
+// by a search that began at the given time. It may not if the first endpoint has
+// gone on since, or if the send has ended.
+func (w *Watch) MayHandOver(searchBegan time.Time) bool {
+	return !w.ended && w.limit > 0 && !w.progressAt.Add(w.limit).After(searchBegan)
+}
--- /dev/null
+++ b/pkg/coordination/handover/handover_test.go
@@ -0,0 +1,48 @@
+package handover_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/handover"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against an answer that ends although its endpoint has gone on while
+// another one was looked for.
+func TestEndpointThatGoesOnKeepsItsRequest(t *testing.T) {
+	w := handover.New(at(0), time.Second)
+	wait, watched := w.UntilSearch(at(400))
+	assert.Assert(t, watched)
+	assert.Equal(t, wait, 600*time.Millisecond)
+	assert.Assert(t, !w.MayHandOver(at(999)))
+	wait, _ = w.UntilSearch(at(1000))
+	assert.Equal(t, wait, time.Duration(0))
+	assert.Assert(t, w.MayHandOver(at(1000)))
+	w.Progress(at(1200), time.Second)
+	assert.Assert(t, !w.MayHandOver(at(1000)), "the endpoint has gone on since the search began")
+	wait, _ = w.UntilSearch(at(1300))
+	assert.Equal(t, wait, 900*time.Millisecond)
+	assert.Assert(t, w.MayHandOver(at(2200)))
+}
+
+// Guards against a request that goes on at two endpoints: it has ended, or has
+// been sent to as many as it may.
+func TestNoHandOverAfterTheEndOrTheLastAttempt(t *testing.T) {
+	w := handover.New(at(0), time.Second)
+	w.End()
+	_, watched := w.UntilSearch(at(2000))
+	assert.Assert(t, !watched)
+	assert.Assert(t, !w.MayHandOver(at(2000)))
+
+	w = handover.New(at(0), time.Second)
+	w.Progress(at(100), 0)
+	_, watched = w.UntilSearch(at(2000))
+	assert.Assert(t, !watched)
+	assert.Assert(t, !w.MayHandOver(at(2000)))
+}
--- a/pkg/coordination/retrybudget/retrybudget.go
+++ b/pkg/coordination/retrybudget/retrybudget.go
@@ -57,10 +57,15 @@
 	b.retries = min(b.retries+b.config.Ratio, b.capacity())
 }
 
+// HasRetry reports whether the budget allows a retry now, without spending it.
+func (b *Budget) HasRetry(now time.Time) bool {
+	b.refill(now)
+	return b.retries >= 1
+}
+
 // TakeRetry spends one retry and reports whether the budget allowed it.
 func (b *Budget) TakeRetry(now time.Time) bool {
-	b.refill(now)
-	if b.retries < 1 {
+	if !b.HasRetry(now) {
 		return false
 	}
 	b.retries--
--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -90,6 +90,9 @@
 // in time.
 func (n *Node) chooseEngine(ctx context.Context, p *requestState) (*serving.Endpoint, *refusal) {
 	limit := p.request.Arrived.Add(n.maxAdapterWait(p.request))
+	if p.besideSend {
+		limit = time.Now()
+	}
 	for {
 		now := time.Now()
 		if ctx.Err() != nil {
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -44,6 +44,9 @@
 	excluded map[ids.EndpointID]bool
 	// shedByEndpoint is set once an endpoint shed the request for lack of room.
 	shedByEndpoint bool
+	// besideSend is set for a search for another endpoint while a send goes on.
+	// It waits for nothing and has no adapter loaded.
+	besideSend bool
 	// deniedBy is the engine that last denied having the adapter; nil once its
 	// owner was asked about it.
 	deniedBy *serving.Endpoint
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -21,14 +21,14 @@
 	// that was loaded only recently.
 	shedRetryDelay = 40 * time.Millisecond
 	// silenceTimeoutFactor is the multiple of the route's objective after which
-	// an unanswered request that may be repeated, or a resumable stream, is
-	// sent to another endpoint. The timeout is at least minSilenceTimeout and
-	// at most silenceTimeoutShare of the time left.
+	// another endpoint is looked for if a request that may be repeated, or a
+	// resumable stream, is not answered. The timeout is at least
+	// minSilenceTimeout and at most silenceTimeoutShare of the time left.
 	silenceTimeoutFactor = 4
 	minSilenceTimeout    = 300 * time.Millisecond
 	silenceTimeoutShare  = 0.45
 	// streamSilenceLimit is how long a resumable stream may complete no event
-	// before it is resumed at another endpoint, or pauseToleranceFactor times the
+	// before another endpoint is looked for, or pauseToleranceFactor times the
 	// objective for its pauses if that is longer. Callers give up after two
 	// seconds, or eight such pauses.
 	streamSilenceLimit   = time.Second
@@ -67,27 +67,37 @@
 		n.adapterIndex.beginRequest(key)
 		defer n.adapterIndex.endRequest(key)
 	}
+	var secured *serving.Endpoint
 	for shed, denied := 0, 0; ; {
-		endpoint, refused := n.chooseEndpoint(ctx, p)
-		if refused == nil {
-			refused = n.checkKey(p)
-		}
-		if refused == nil {
-			refused = n.checkQuarantine(p)
-		}
-		if refused != nil {
-			n.endNotRun(r, w, p, refused)
-			return
-		}
-		if !n.admitToEndpoint(ctx, endpoint) {
-			n.releaseGrant(&p.prefillGrant, false)
-			if denied++; denied > maxDenials {
-				n.endNotRun(r, w, p, n.refuseAtLimits(p))
+		endpoint := secured
+		secured = nil
+		if endpoint == nil {
+			var refused *refusal
+			endpoint, refused = n.chooseEndpoint(ctx, p)
+			if refused == nil {
+				refused = n.checkKey(p)
+			}
+			if refused == nil {
+				refused = n.checkQuarantine(p)
+			}
+			if refused != nil {
+				n.endNotRun(r, w, p, refused)
 				return
 			}
-			continue
+			if !n.admitToEndpoint(ctx, endpoint) {
+				n.releaseGrant(&p.prefillGrant, false)
+				if denied++; denied > maxDenials {
+					n.endNotRun(r, w, p, n.refuseAtLimits(p))
+					return
+				}
+				continue
+			}
 		}
 		result := n.send(ctx, w, p, endpoint)
+		if result.replacement != nil && (ctx.Err() != nil || result.engineEnded && !n.mayRepeatAfterCrash(p)) {
+			n.releaseGrant(&result.replacement.search.prefillGrant, false)
+			result.replacement = nil
+		}
 		switch {
 		case result.done:
 			n.logServed(p, result)
@@ -96,6 +106,10 @@
 			n.logIncomplete(p, "caller left", 0, result.reason)
 			abortConnection()
 			return
+		case result.replacement != nil:
+			p.excluded[endpoint.ID] = true
+			secured = p.continueAt(result.replacement)
+			n.logResend(p, endpoint, result)
 		case result.shed:
 			shed++
 			// A request that never left this VM doesn't count as a repeat.
@@ -115,11 +129,17 @@
 			return
 		default:
 			p.excluded[endpoint.ID] = true
-			n.logInfo("sending the request to another endpoint", fields{"request": p.request.ID, "endpoint": endpoint.ID, "reason": result.reason, "runs": p.possibleRuns})
+			n.logResend(p, endpoint, result)
 		}
 	}
 }
 
+func (n *Node) logResend(p *requestState, left *serving.Endpoint, result sendResult) {
+	n.logInfo("sending the request to another endpoint", fields{
+		"request": p.request.ID, "endpoint": left.ID, "reason": result.reason, "runs": p.possibleRuns, "engineSilenceMs": p.engineSilence.Milliseconds(),
+	})
+}
+
 // chooseEndpoint returns the endpoint for the next send.
 func (n *Node) chooseEndpoint(ctx context.Context, p *requestState) (*serving.Endpoint, *refusal) {
 	if p.request.Service.Engine != nil && p.request.Adapter != "" {
@@ -127,7 +147,9 @@
 	}
 	now := time.Now()
 	endpoints := n.eligible(n.directory.View(), p)
-	if len(endpoints) == 0 && len(p.excluded) > 0 {
+	if p.besideSend {
+		endpoints = n.available(now, endpoints)
+	} else if len(endpoints) == 0 && len(p.excluded) > 0 {
 		if p.shedByEndpoint {
 			// Each endpoint was asked; another round would only add load.
 			return nil, refuseBusy(retryNoEndpoint, "all endpoints shed the request")
@@ -240,8 +262,8 @@
 	w.WriteHeader(refused.status)
 }
 
-// silenceTimeout returns how long a send may stay unanswered before the request
-// is sent to another endpoint; 0 means that it is not sent again.
+// silenceTimeout returns how long a send may stay unanswered before another
+// endpoint is looked for; 0 means that the request is not sent again.
 func (p *requestState) silenceTimeout(left time.Duration) time.Duration {
 	route := p.request.Route
 	if !route.MayRepeat() || p.possibleRuns >= route.Attempts {
@@ -258,6 +280,13 @@
 	return n.retryBudget(p.request.Service.Name, time.Now()).TakeRetry(time.Now())
 }
 
+// retryBudgetLeft reports whether takeRetryBudget would allow a send now.
+func (n *Node) retryBudgetLeft(p *requestState) bool {
+	n.retryBudgetsMu.Lock()
+	defer n.retryBudgetsMu.Unlock()
+	return n.retryBudget(p.request.Service.Name, time.Now()).HasRetry(time.Now())
+}
+
 func (n *Node) recordRequest(p *requestState) {
 	n.retryBudgetsMu.Lock()
 	n.retryBudget(p.request.Service.Name, time.Now()).AddRequest(time.Now())
--- /dev/null
+++ b/pkg/node/handover.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/handover"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
+)
+
+// handoverInterval is the pause between two searches for another endpoint while
+// one is silent.
+const handoverInterval = 150 * time.Millisecond
+
+// silenceWatch looks for another endpoint while the endpoint of a send is silent.
+// The send goes on meanwhile. It is cancelled only when the other endpoint may get
+// the request at once: it holds the adapter, its owner and its limit admit the
+// request, and the key and the retry budget allow the send.
+type silenceWatch struct {
+	node     *Node
+	request  *requestState
+	endpoint ids.EndpointID
+	ctx      context.Context
+	cancel   context.CancelFunc
+	timer    *time.Timer
+	searches sync.WaitGroup
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	watch *handover.Watch
+	// stopSearch ends the search that is running; nil if there is none.
+	stopSearch  context.CancelFunc
+	replacement *replacement
+	logged      bool
+}
+
+// replacement is the endpoint at which a request goes on, with the state of the
+// search that found it.
+type replacement struct {
+	endpoint *serving.Endpoint
+	search   *requestState
+}
+
+// watchSilence starts the watch of a send. ctx and cancel are those of the send. A
+// limit of 0 means that the request is not sent again.
+func (n *Node) watchSilence(ctx context.Context, cancel context.CancelFunc, p *requestState, e ids.EndpointID, limit time.Duration) *silenceWatch {
+	s := &silenceWatch{node: n, request: p, endpoint: e, ctx: ctx, cancel: cancel, watch: handover.New(time.Now(), limit)}
+	if limit > 0 {
+		s.mu.Lock()
+		s.timer = time.AfterFunc(limit, s.search)
+		s.mu.Unlock()
+	}
+	return s
+}
+
+// progress records that the endpoint has sent something that counts.
+func (s *silenceWatch) progress(limit time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.Progress(time.Now(), limit)
+	if s.stopSearch != nil {
+		s.stopSearch()
+	}
+}
+
+// stop ends the watch with its send. It returns the endpoint at which the request
+// goes on, or nil, and reports whether the endpoint of the send was silent.
+func (s *silenceWatch) stop() (found *replacement, silent bool) {
+	s.mu.Lock()
+	wait, watched := s.watch.UntilSearch(time.Now())
+	s.watch.End()
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	if s.stopSearch != nil {
+		s.stopSearch()
+	}
+	s.mu.Unlock()
+	s.searches.Wait()
+	return s.replacement, s.replacement != nil || watched && wait == 0
+}
+
+// search looks for another endpoint once the endpoint has been silent for the
+// limit, and again later if there is none. The timer calls it.
+func (s *silenceWatch) search() {
+	s.mu.Lock()
+	began := time.Now()
+	wait, watched := s.watch.UntilSearch(began)
+	if !watched || wait > 0 {
+		if watched {
+			s.timer.Reset(wait)
+		}
+		s.mu.Unlock()
+		return
+	}
+	ctx, stop := context.WithCancel(s.ctx)
+	defer stop()
+	s.stopSearch = stop
+	s.searches.Add(1)
+	defer s.searches.Done()
+	s.mu.Unlock()
+
+	search := s.request.newSearch(s.endpoint)
+	var endpoint *serving.Endpoint
+	var refused *refusal
+	if err := protect("look for another endpoint", func() error {
+		endpoint, refused = s.node.findReplacement(ctx, search)
+		return nil
+	}); err != nil {
+		refused = refuseNoEndpoint()
+		s.node.logWarning("search for another endpoint failed", err, fields{"request": s.request.request.ID, "endpoint": s.endpoint})
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopSearch = nil
+	if refused == nil && s.watch.MayHandOver(began) && s.node.takeRetryBudget(s.request) {
+		s.replacement = &replacement{endpoint: endpoint, search: search}
+		s.watch.End()
+		s.cancel()
+		return
+	}
+	s.node.releaseGrant(&search.prefillGrant, false)
+	if refused != nil && !s.logged && ctx.Err() == nil {
+		s.logged = true
+		s.node.logInfo("endpoint silent, no other can go on", fields{"request": s.request.request.ID, "endpoint": s.endpoint, "reason": refused.reason})
+	}
+	if _, watched := s.watch.UntilSearch(time.Now()); watched {
+		s.timer.Reset(handoverInterval)
+	}
+}
+
+// newSearch returns the state of a search for an endpoint that continues the
+// request in place of a silent one. It shares nothing with p that changes.
+func (p *requestState) newSearch(silent ids.EndpointID) *requestState {
+	search := &requestState{
+		request: p.request, key: p.key, pickSalt: p.pickSalt, quarantineTrial: p.quarantineTrial,
+		excluded: maps.Clone(p.excluded), fullEngines: make(map[ids.EndpointID]bool), besideSend: true,
+	}
+	search.excluded[silent] = true
+	return search
+}
+
+// findReplacement returns an endpoint that may get the request at once.
+func (n *Node) findReplacement(ctx context.Context, search *requestState) (*serving.Endpoint, *refusal) {
+	if !n.retryBudgetLeft(search) {
+		return nil, refuseBusy(retryNoEndpoint, "no retry budget")
+	}
+	if refused := n.checkKey(search); refused != nil {
+		return nil, refused
+	}
+	endpoint, refused := n.chooseEndpoint(ctx, search)
+	if refused == nil {
+		refused = n.checkKey(search)
+	}
+	if refused == nil {
+		refused = n.checkQuarantine(search)
+	}
+	if refused == nil && !n.admitToEndpoint(ctx, endpoint) {
+		refused = n.refuseAtLimits(search)
+	}
+	return endpoint, refused
+}
+
+// continueAt takes over what the search for a replacement has secured.
+func (p *requestState) continueAt(found *replacement) *serving.Endpoint {
+	p.prefillGrant, p.quarantineTrial = found.search.prefillGrant, found.search.quarantineTrial
+	p.prefillWait += found.search.prefillWait
+	return found.endpoint
+}
+
+// available returns the endpoints that are not ejected.
+func (n *Node) available(now time.Time, endpoints []*serving.Endpoint) []*serving.Endpoint {
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	var available []*serving.Endpoint
+	for _, e := range endpoints {
+		if n.balancer.Available(now, e.ID) {
+			available = append(available, e)
+		}
+	}
+	return available
+}
--- a/pkg/node/prefill.go
+++ b/pkg/node/prefill.go
@@ -164,6 +164,9 @@
 	}
 	objective := p.request.Route.Objective
 	limit := p.request.Arrived.Add(time.Duration(prefillWaitFactor * float64(max(objective, minAdapterWait))))
+	if p.besideSend {
+		limit = now
+	}
 	reply, err := n.callPrefill(ctx, engineOwner, prefillRequest{
 		Endpoint: e.ID, Request: p.request.ID, Urgency: p.request.Urgency, Now: probeOnly,
 		AgeMs:     now.Sub(p.request.Arrived).Milliseconds(),
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
@@ -35,9 +34,12 @@
 	// engineEnded if that was because the engine's process ended under a request
 	// whose answer had not begun.
 	connectionLost, engineEnded bool
-	// silent is set if this VM ended the send since the endpoint sent nothing for
-	// too long, and timeOver if the request's time limit was reached.
+	// silent is set if the endpoint had sent nothing for too long when the send
+	// ended, and timeOver if the request's time limit was reached.
 	silent, timeOver bool
+	// replacement is the endpoint at which the request goes on, with what a search
+	// has secured for it; nil if there is none.
+	replacement *replacement
 
 	reason string
 	bytes  int64
@@ -49,8 +51,8 @@
 
 const (
 	// cutEngineBroke means that the engine broke the answer off or shed the
-	// resumed request, cutEngineSilent that this VM gave the send up since the
-	// engine was silent, and cutTimeLimit that the request's time was over.
+	// resumed request, cutEngineSilent that it was silent at the end, and
+	// cutTimeLimit that the request's time was over.
 	cutEngineBroke  cutCause = "engine broke off"
 	cutEngineSilent cutCause = "engine silent"
 	cutTimeLimit    cutCause = "time limit"
@@ -66,40 +68,6 @@
 	return cutEngineBroke
 }
 
-// silenceTimer cancels a send if the endpoint sends nothing for too long.
-type silenceTimer struct {
-	timer *time.Timer
-	fired atomic.Bool
-}
-
-func startSilenceTimer(limit time.Duration, cancel context.CancelFunc) *silenceTimer {
-	d := &silenceTimer{}
-	if limit > 0 {
-		d.timer = time.AfterFunc(limit, func() {
-			d.fired.Store(true)
-			cancel()
-		})
-	}
-	return d
-}
-
-func (d *silenceTimer) reset(limit time.Duration) {
-	if d.timer == nil {
-		return
-	}
-	if limit <= 0 {
-		d.timer.Stop()
-		return
-	}
-	d.timer.Reset(limit)
-}
-
-func (d *silenceTimer) stop() {
-	if d.timer != nil {
-		d.timer.Stop()
-	}
-}
-
 // send sends a request to one endpoint and relays its answer to the caller.
 func (n *Node) send(ctx context.Context, w http.ResponseWriter, p *requestState, e *serving.Endpoint) sendResult {
 	now := time.Now()
@@ -111,7 +79,7 @@
 	defer cancel()
 	p.sends++
 	p.possibleRuns++
-	silence := startSilenceTimer(p.silenceTimeout(left), cancel)
+	silence := n.watchSilence(sendCtx, cancel, p, e.ID, p.silenceTimeout(left))
 	defer silence.stop()
 	n.balanceMu.Lock()
 	n.balancer.Begin(now, e.ID)
@@ -127,15 +95,20 @@
 	}()
 	result := n.roundTrip(sendCtx, w, p, e, left, silence, tracker)
 	ended = true
+	replacement, silent := silence.stop()
 	if result.shed {
 		p.possibleRuns--
 	}
-	if silence.fired.Load() && !result.done {
-		result.reason, result.silent = "endpoint silent", true
+	result.silent = silent && !result.done && !result.connectionLost
+	switch {
+	case replacement != nil && result.done:
+		n.releaseGrant(&replacement.search.prefillGrant, false)
+	case replacement != nil:
+		result.reason, result.silent, result.replacement = "endpoint silent", true, replacement
 	}
 	result.timeOver = !result.done && !time.Now().Before(p.request.Deadline)
 	p.lastSend, p.engineSilence = result, time.Since(tracker.lastBytes)
-	tracker.recordEnd(balancerOutcome(result, ctx.Err() != nil && !silence.fired.Load()), result.reason)
+	tracker.recordEnd(balancerOutcome(result, ctx.Err() != nil && !silent), result.reason)
 	if result.connectionLost && !tracker.answerBegan && sendCtx.Err() == nil {
 		result.engineEnded = n.examineBrokenSend(p, e, now, result.reason)
 	}
@@ -198,7 +171,7 @@
 	}
 }
 
-func (n *Node) roundTrip(ctx context.Context, w http.ResponseWriter, p *requestState, e *serving.Endpoint, left time.Duration, silence *silenceTimer, tracker *sendTracker) sendResult {
+func (n *Node) roundTrip(ctx context.Context, w http.ResponseWriter, p *requestState, e *serving.Endpoint, left time.Duration, silence *silenceWatch, tracker *sendTracker) sendResult {
 	var connection net.Conn
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn }})
 	response, err := n.client.Do(n.buildRequest(traced, p, e, left))
@@ -285,7 +258,7 @@
 // relayBuffered reads the complete answer before it sends any of it to the
 // caller, so that the request can still be sent to another endpoint if the
 // answer is incomplete.
-func (n *Node) relayBuffered(w http.ResponseWriter, p *requestState, response *http.Response, answer Answer, silence *silenceTimer, tracker *sendTracker) sendResult {
+func (n *Node) relayBuffered(w http.ResponseWriter, p *requestState, response *http.Response, answer Answer, silence *silenceWatch, tracker *sendTracker) sendResult {
 	body, release, err := n.answerMemory.readAll(response.Body)
 	defer release()
 	if err != nil {
--- a/pkg/node/stream.go
+++ b/pkg/node/stream.go
@@ -24,7 +24,7 @@
 // relayStream sends a stream's events to the caller as they arrive. The
 // response starts only with the first bytes, so that a stream that fails before
 // them can still be sent to another endpoint.
-func (n *Node) relayStream(w http.ResponseWriter, p *requestState, response *http.Response, answer Answer, silence *silenceTimer, tracker *sendTracker) sendResult {
+func (n *Node) relayStream(w http.ResponseWriter, p *requestState, response *http.Response, answer Answer, silence *silenceWatch, tracker *sendTracker) sendResult {
 	result := sendResult{status: response.StatusCode}
 	controller := http.NewResponseController(w)
 	events := eventBuffer{wholeEvents: p.request.Route.Resumable}
@@ -44,15 +44,15 @@
 				tracker.recordAnswerBegan(p)
 				// Bytes that complete no event are no progress: an engine that is
 				// stuck may still send some now and then.
-				silence.reset(p.streamSilenceLimit())
+				silence.progress(p.streamSilenceLimit())
 			}
 			if len(ready) > 0 {
-				if writeErr := n.writeToCaller(w, p, response, answer, ready); writeErr != nil {
-					result.reason = "caller left: " + writeErr.Error()
-					return result
+				err := n.writeToCaller(w, p, response, answer, ready)
+				if err == nil {
+					err = controller.Flush()
 				}
-				if flushErr := controller.Flush(); flushErr != nil {
-					result.reason = "caller left: " + flushErr.Error()
+				if err != nil {
+					result.reason = "caller left: " + err.Error()
 					return result
 				}
 				result.bytes += int64(len(ready))
@@ -184,8 +184,8 @@
 // remainder returns the bytes held back at the end of the stream.
 func (b *eventBuffer) remainder() []byte { return b.pending }
 
-// streamSilenceLimit returns how long a stream may send nothing before it is
-// resumed at another endpoint; 0 means that it is not resumed.
+// streamSilenceLimit returns how long a stream may complete no event before
+// another endpoint is looked for; 0 means that it is not resumed.
 func (p *requestState) streamSilenceLimit() time.Duration {
 	if !p.request.Route.MayRepeat() || p.possibleRuns >= p.request.Route.Attempts {
 		return 0
