Don't count a slow caller's time as silence of its engine

A resumable stream whose caller read nothing for a second was sent again at another engine, since the silence of its engine was measured while this VM waited for the caller. The watch is held during each write to the caller.

TestSlowCallerKeepsItsEngine failed before: the stream ran at two engines, and the caller got 24,577,680 bytes of test data instead of 20,481,400.

--- a/pkg/coordination/handover/handover.go
+++ b/pkg/coordination/handover/handover.go
@@ -12,7 +12,10 @@
 	// not go on elsewhere.
 	limit      time.Duration
 	progressAt time.Time
-	ended      bool
+	// held is set while the endpoint's bytes wait for the caller, so that its
+	// silence says nothing.
+	held  bool
+	ended bool
 }
 
 // New returns the watch of a send that begins now.
@@ -24,6 +27,13 @@
 // limit from then on.
 func (w *Watch) Progress(now time.Time, limit time.Duration) { w.progressAt, w.limit = now, limit }
 
+// Hold stops the watch while the endpoint's bytes are written to the caller, and
+// Release starts it anew.
+func (w *Watch) Hold() { w.held = true }
+
+// Release ends Hold.
+func (w *Watch) Release(now time.Time) { w.progressAt, w.held = now, false }
+
 // End records that the send has ended or that it is handed over.
 func (w *Watch) End() { w.ended = true }
 
@@ -33,6 +43,9 @@
 	if w.ended || w.limit <= 0 {
 		return 0, false
 	}
+	if w.held {
+		return w.limit, true
+	}
 	return max(w.progressAt.Add(w.limit).Sub(now), 0), true
 }
 
@@ -40,5 +53,5 @@
 // by a search that began at the given time. It may not if the first endpoint has
 // gone on since, or if the send has ended.
 func (w *Watch) MayHandOver(searchBegan time.Time) bool {
-	return !w.ended && w.limit > 0 && !w.progressAt.Add(w.limit).After(searchBegan)
+	return !w.ended && !w.held && w.limit > 0 && !w.progressAt.Add(w.limit).After(searchBegan)
 }
--- a/pkg/coordination/handover/handover_test.go
+++ b/pkg/coordination/handover/handover_test.go
@@ -46,3 +46,18 @@
 	assert.Assert(t, !watched)
 	assert.Assert(t, !w.MayHandOver(at(2000)))
 }
+
+// Guards against a slow caller whose stream is taken from a sound endpoint: the
+// endpoint isn't silent while its bytes wait for the caller.
+func TestWaitForTheCallerIsNoSilence(t *testing.T) {
+	w := handover.New(at(0), time.Second)
+	w.Hold()
+	wait, watched := w.UntilSearch(at(5000))
+	assert.Assert(t, watched && wait > 0)
+	assert.Assert(t, !w.MayHandOver(at(5000)))
+	w.Release(at(5000))
+	wait, _ = w.UntilSearch(at(5000))
+	assert.Equal(t, wait, time.Second)
+	assert.Assert(t, !w.MayHandOver(at(5500)))
+	assert.Assert(t, w.MayHandOver(at(6000)))
+}
--- a/pkg/node/handover.go
+++ b/pkg/node/handover.go
@@ -66,6 +66,20 @@
 	}
 }
 
+// hold stops the watch while bytes are written to the caller, and release starts
+// it anew.
+func (s *silenceWatch) hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.Hold()
+}
+
+func (s *silenceWatch) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.Release(time.Now())
+}
+
 // stop ends the watch with its send. It returns the endpoint at which the request
 // goes on, or nil, and reports whether the endpoint of the send was silent.
 func (s *silenceWatch) stop() (found *replacement, silent bool) {
--- a/pkg/node/stream.go
+++ b/pkg/node/stream.go
@@ -47,10 +47,12 @@
 				silence.progress(p.streamSilenceLimit())
 			}
 			if len(ready) > 0 {
+				silence.hold()
 				err := n.writeToCaller(w, p, response, answer, ready)
 				if err == nil {
 					err = controller.Flush()
 				}
+				silence.release()
 				if err != nil {
 					result.reason = "caller left: " + err.Error()
 					return result
