Look for an engine for a broken stream as long as its caller waits

A resumable stream that its engine broke off was given up by rules that are meant for new requests: the waits for an adapter and for a turn at an engine counted from the arrival and were over after about a second, and the first refusal, for an engine that sheds for a moment or for a spent retry budget, closed the caller's connection. The waits now count from the break, and while the refusals are temporary another search follows every 100 ms, until the caller gives up by the platform's own figures (handover.ResumeBy).

Failed before: TestStreamThatBreaksOffLateIsResumed ('adapter not loaded in time' 980 ms after the arrival) and TestResumedStreamOutlastsAShed ('all endpoints shed the request'), both with a cut answer.

--- a/pkg/coordination/handover/handover.go
+++ b/pkg/coordination/handover/handover.go
@@ -6,6 +6,20 @@
 
 import "time"
 
+// Callers abandon a stream after a gap of minPatience, or of these multiples of
+// the route's objective and of its objective for pauses, whichever is longest.
+const (
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	pausePatience     = 8
+)
+
+// ResumeBy returns when a stream that broke off must go on at the latest, since
+// its caller gives up then. lastEvent is when its last event was sent.
+func ResumeBy(lastEvent time.Time, objective, pauseObjective time.Duration) time.Time {
+	return lastEvent.Add(max(minPatience, objectivePatience*objective, pausePatience*pauseObjective))
+}
+
 // Watch follows one send. It is not safe for concurrent use.
 type Watch struct {
 	// limit is how long the endpoint may be silent; 0 means that the request must
--- a/pkg/coordination/handover/handover_test.go
+++ b/pkg/coordination/handover/handover_test.go
@@ -61,3 +61,15 @@
 	assert.Assert(t, !w.MayHandOver(at(5500)))
 	assert.Assert(t, w.MayHandOver(at(6000)))
 }
+
+// Guards against a stream that is cut while its caller still waits, or that goes
+// on when the caller has given up.
+func TestBrokenStreamMayGoOnWhileItsCallerWaits(t *testing.T) {
+	for _, c := range []struct{ objective, pause, patience time.Duration }{
+		{200 * time.Millisecond, 100 * time.Millisecond, 2 * time.Second},
+		{time.Second, 300 * time.Millisecond, 4 * time.Second},
+		{200 * time.Millisecond, 300 * time.Millisecond, 2400 * time.Millisecond},
+	} {
+		assert.Equal(t, handover.ResumeBy(at(0), c.objective, c.pause).Sub(at(0)), c.patience)
+	}
+}
--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -89,7 +89,7 @@
 // adapter loaded if necessary, and refuses the request if that cannot be done
 // in time.
 func (n *Node) chooseEngine(ctx context.Context, p *requestState) (*serving.Endpoint, *refusal) {
-	limit := p.request.Arrived.Add(n.maxAdapterWait(p.request))
+	limit := p.searchBegan.Add(n.maxAdapterWait(p.request))
 	if p.besideSend {
 		limit = time.Now()
 	}
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -44,6 +44,9 @@
 	excluded map[ids.EndpointID]bool
 	// shedByEndpoint is set once an endpoint shed the request for lack of room.
 	shedByEndpoint bool
+	// searchBegan is when the search for the next endpoint began: at the arrival, or
+	// when a stream that has begun broke off.
+	searchBegan time.Time
 	// besideSend is set for a search for another endpoint while a send goes on.
 	// It waits for nothing and has no adapter loaded.
 	besideSend bool
@@ -89,8 +92,8 @@
 
 func (n *Node) newRequestState(r *http.Request, arrived time.Time) *requestState {
 	return &requestState{
-		request: &serving.Request{Arrived: arrived},
-		header:  r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
+		request: &serving.Request{Arrived: arrived}, searchBegan: arrived,
+		header: r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
 		excluded: make(map[ids.EndpointID]bool), fullEngines: make(map[ids.EndpointID]bool),
 		pickSalt: n.pickSalt.Add(1),
 	}
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -81,14 +81,21 @@
 				refused = n.checkQuarantine(p)
 			}
 			if refused != nil {
+				n.releaseGrant(&p.prefillGrant, false)
+				if n.awaitNextSearch(ctx, p, refused) {
+					continue
+				}
 				n.endNotRun(r, w, p, refused)
 				return
 			}
 			if !n.admitToEndpoint(ctx, endpoint) {
 				n.releaseGrant(&p.prefillGrant, false)
 				if denied++; denied > maxDenials {
-					n.endNotRun(r, w, p, n.refuseAtLimits(p))
-					return
+					refused = n.refuseAtLimits(p)
+					if !n.awaitNextSearch(ctx, p, refused) {
+						n.endNotRun(r, w, p, refused)
+						return
+					}
 				}
 				continue
 			}
@@ -113,10 +120,13 @@
 		case result.shed:
 			shed++
 			// A request that never left this VM doesn't count as a repeat.
-			if shed > maxSheds || !result.unreachable && !n.takeRetryBudget(p) {
+			if shed > maxSheds || !result.unreachable && !n.awaitRetryBudget(ctx, p) {
 				n.endNotRun(r, w, p, refuseBusy(retryNoEndpoint, "endpoints shed the request: "+result.reason))
 				return
 			}
+			if p.responseStarted {
+				p.searchBegan = time.Now()
+			}
 			n.prepareAfterShed(ctx, p, endpoint, result)
 		case ctx.Err() != nil:
 			n.fail(w, p, failTimeout())
@@ -124,11 +134,14 @@
 		case result.engineEnded && !n.mayRepeatAfterCrash(p):
 			n.fail(w, p, failMayHaveRun(result.reason))
 			return
-		case !p.request.Route.MayRepeat() || p.possibleRuns >= p.request.Route.Attempts || !n.takeRetryBudget(p):
-			n.fail(w, p, failMayHaveRun(result.reason))
+		case !p.request.Route.MayRepeat() || p.possibleRuns >= p.request.Route.Attempts || !n.awaitRetryBudget(ctx, p):
+			n.endMayHaveRun(r, w, p, failMayHaveRun(result.reason))
 			return
 		default:
 			p.excluded[endpoint.ID] = true
+			if p.responseStarted {
+				p.searchBegan = time.Now()
+			}
 			n.logResend(p, endpoint, result)
 		}
 	}
@@ -207,6 +220,16 @@
 	n.refuse(w, p, refused)
 }
 
+// endMayHaveRun ends a request that may have run and can't be sent again.
+func (n *Node) endMayHaveRun(r *http.Request, w http.ResponseWriter, p *requestState, failed *refusal) {
+	if r.Context().Err() != nil {
+		n.logIncomplete(p, "caller left", 0, failed.reason)
+		abortConnection()
+		return
+	}
+	n.fail(w, p, failed)
+}
+
 // fail answers a request that may have run. If the response has already
 // started, it aborts the connection instead.
 func (n *Node) fail(w http.ResponseWriter, p *requestState, failed *refusal) {
--- a/pkg/node/handover.go
+++ b/pkg/node/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"sync"
 	"time"
 
@@ -15,6 +16,10 @@
 // one is silent.
 const handoverInterval = 150 * time.Millisecond
 
+// resumeInterval is the pause between two searches for an endpoint at which a
+// stream that broke off can go on.
+const resumeInterval = 100 * time.Millisecond
+
 // silenceWatch looks for another endpoint while the endpoint of a send is silent.
 // The send goes on meanwhile. It is cancelled only when the other endpoint may get
 // the request at once: it holds the adapter, its owner and its limit admit the
@@ -152,7 +157,7 @@
 func (p *requestState) newSearch(silent ids.EndpointID) *requestState {
 	search := &requestState{
 		request: p.request, key: p.key, pickSalt: p.pickSalt, quarantineTrial: p.quarantineTrial,
-		excluded: maps.Clone(p.excluded), fullEngines: make(map[ids.EndpointID]bool), besideSend: true,
+		excluded: maps.Clone(p.excluded), fullEngines: make(map[ids.EndpointID]bool), searchBegan: time.Now(), besideSend: true,
 	}
 	search.excluded[silent] = true
 	return search
@@ -186,6 +191,36 @@
 	return found.endpoint
 }
 
+// awaitNextSearch waits before the next search for an endpoint at which a stream
+// that broke off can go on, and reports whether there may be one. A request
+// whose answer has not begun is refused instead.
+func (n *Node) awaitNextSearch(ctx context.Context, p *requestState, refused *refusal) bool {
+	if !p.responseStarted || refused.status != http.StatusServiceUnavailable || ctx.Err() != nil {
+		return false
+	}
+	route := p.request.Route
+	next := time.Now().Add(max(refused.retryAfter, 0))
+	if next.After(handover.ResumeBy(p.lastChunkAt, route.Objective, route.PauseObjective)) {
+		return false
+	}
+	sleep(ctx, resumeInterval)
+	clear(p.excluded)
+	clear(p.fullEngines)
+	p.shedByEndpoint, p.searchBegan = false, time.Now()
+	return ctx.Err() == nil
+}
+
+// awaitRetryBudget spends one repeated send, for which a stream that broke off
+// waits, and reports whether the budget allowed it.
+func (n *Node) awaitRetryBudget(ctx context.Context, p *requestState) bool {
+	for !n.takeRetryBudget(p) {
+		if !n.awaitNextSearch(ctx, p, refuseBusy(0, "no retry budget")) {
+			return false
+		}
+	}
+	return true
+}
+
 // available returns the endpoints that are not ejected.
 func (n *Node) available(now time.Time, endpoints []*serving.Endpoint) []*serving.Endpoint {
 	n.balanceMu.Lock()
--- a/pkg/node/prefill.go
+++ b/pkg/node/prefill.go
@@ -163,14 +163,14 @@
 		return prefillReply{Status: prefillNotOwner}
 	}
 	objective := p.request.Route.Objective
-	limit := p.request.Arrived.Add(time.Duration(prefillWaitFactor * float64(max(objective, minAdapterWait))))
+	limit := p.searchBegan.Add(time.Duration(prefillWaitFactor * float64(max(objective, minAdapterWait))))
 	if p.besideSend {
 		limit = now
 	}
 	reply, err := n.callPrefill(ctx, engineOwner, prefillRequest{
 		Endpoint: e.ID, Request: p.request.ID, Urgency: p.request.Urgency, Now: probeOnly,
 		AgeMs:     now.Sub(p.request.Arrived).Milliseconds(),
-		OnTimeMs:  p.request.Arrived.Add(objective).Sub(now).Milliseconds(),
+		OnTimeMs:  p.searchBegan.Add(objective).Sub(now).Milliseconds(),
 		MaxWaitMs: limit.Sub(now).Milliseconds(),
 	})
 	prefillGrant := prefillGrant{engineOwner: engineOwner, endpoint: e.ID, request: p.request.ID}
