Answer every request that is read during a drain

A draining VM dropped requests that it had read: http.Server.Shutdown closes a connection whose request head is complete only after the shutdown began, and it may close one whose next request is being read. At the end of the grace time, all open connections were closed without a word, also those of requests that could still be answered.

Callers' connections are now tracked (pkg/transport/callers). The listener is closed by itself, idle connections only while the server holds none of their bytes. A request that is read after that is refused with 503 unless its time limit ends before the drain does. Shortly before the end, open requests end: those without an answer get 504, or 503 if they were not sent.

--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -119,6 +119,9 @@
 		return refused
 	}
 	p.setDeadline(call.TimeLeft)
+	if end := n.drainEnd.Load(); end != nil && p.request.Deadline.After(*end) {
+		return refuseBusy(retryOtherVM, "the VM shuts down")
+	}
 	if refused := p.readBody(w, r, view.Config.Limits.BodyBytes); refused != nil {
 		return refused
 	}
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -55,6 +55,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), p.request.Deadline)
 	defer cancel()
+	defer context.AfterFunc(n.requestsCtx, cancel)()
 	n.dispatch(ctx, w, r, p)
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/directory"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/mirror"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/callers"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/peers"
 )
 
@@ -157,6 +158,14 @@
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
 	servers []*http.Server
+	// callers holds the callers' connections, and callersListener accepts them.
+	callers         *callers.Connections
+	callersListener net.Listener
+	// drainEnd is the end of a drain whose listener is closed; nil before that.
+	drainEnd atomic.Pointer[time.Time]
+	// requestsCtx ends when the open requests of a drain have to be answered.
+	requestsCtx    context.Context
+	cancelRequests context.CancelFunc
 }
 
 // New creates a VM without opening a port.
@@ -189,10 +198,12 @@
 		wakeExchange:       newWakeSignal(),
 		wakeOwner:          newWakeSignal(),
 		wakeStoreReader:    newWakeSignal(),
+		callers:            callers.New(),
 	}
 	self := fleet.Announcement{ID: settings.Self(), DataCentre: settings.DataCentre, Boot: n.boot, Cores: settings.Cores}
 	n.fleet = fleet.New(fleet.DefaultConfig(), now, self, settings.Seeds)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
 	n.engineOwner = newOwner(n)
 	n.peers = peers.New(peers.Config{
@@ -223,11 +234,14 @@
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+n.options.ReadyPath, n.serveReady)
+	if err := n.serveCallers(); err != nil {
+		_ = peerListener.Close()
+		return err
+	}
 	for _, port := range []struct {
 		name, address string
 		handler       http.Handler
 	}{
-		{"callers", n.settings.ListenAddresses.Callers, n},
 		{"ready", n.settings.ListenAddresses.Ready, ready},
 		{"metrics", n.settings.ListenAddresses.Metrics, n.metrics.handler()},
 	} {
@@ -259,25 +273,41 @@
 	serverHeaderBytes   = 64 << 10
 )
 
+// serveCallers serves callers on connections that a drain closes only between two
+// requests.
+func (n *Node) serveCallers() error {
+	if n.settings.ListenAddresses.Callers == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", n.settings.ListenAddresses.Callers)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	n.callersListener = listener
+	n.serveOn("callers", n.callers.Listen(listener), &http.Server{Handler: n, ConnState: n.callers.ConnState})
+	return nil
+}
+
 func (n *Node) serve(name, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s", name)
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: serverHeaderTimeout,
-		IdleTimeout:       serverIdleTimeout,
-		MaxHeaderBytes:    serverHeaderBytes,
-		ErrorLog:          log.New(serverErrorLog{n}, "", 0),
-	}
+	n.serveOn(name, listener, &http.Server{Handler: handler})
+	return nil
+}
+
+func (n *Node) serveOn(name string, listener net.Listener, server *http.Server) {
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = serverHeaderTimeout, serverIdleTimeout, serverHeaderBytes
+	server.ErrorLog = log.New(serverErrorLog{n}, "", 0)
 	n.servers = append(n.servers, server)
 	n.workers.Go(func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.logWarning("listener failed", err, fields{"name": name})
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) || n.draining.Load() && errors.Is(err, net.ErrClosed) {
+			return
 		}
+		n.logWarning("listener failed", err, fields{"name": name})
 	})
-	return nil
 }
 
 // serveReady answers the readiness probe. A VM is ready while it can serve
@@ -301,6 +331,9 @@
 	// drainReserve is the part of the grace time that is kept for ending the
 	// process.
 	drainReserve = 300 * time.Millisecond
+	// drainAnswerShare is the share of the grace time, before drainReserve, that is
+	// kept for answering the requests that are still open.
+	drainAnswerShare = 0.025
 )
 
 // Run serves until ctx ends, then drains.
@@ -312,7 +345,8 @@
 // Drain shuts the VM down without aborting requests that finish within the
 // grace time. It closes idle connections only once the load balancer has
 // stopped opening new ones, so that no request arrives that could not finish in
-// time.
+// time. Requests that are open at the end are answered as timed out; only
+// answers that have begun are cut.
 func (n *Node) Drain() {
 	began := time.Now()
 	n.draining.Store(true)
@@ -320,14 +354,25 @@
 	n.wakeExchange.wake()
 	n.logInfo("drain", fields{"open": n.openRequests.Load()})
 	time.Sleep(min(drainListenTime, n.settings.Bounds.ShutdownGracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Bounds.ShutdownGracePeriod-drainReserve))
+	grace := n.settings.Bounds.ShutdownGracePeriod
+	end := began.Add(grace - drainReserve)
+	answerBy := end.Add(-time.Duration(drainAnswerShare * float64(grace)))
+	n.drainEnd.Store(&answerBy)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	for _, server := range n.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			n.logWarning("server shutdown incomplete", err, fields{"open": n.openRequests.Load()})
-			_ = server.Close()
+	defer time.AfterFunc(time.Until(answerBy), n.cancelRequests).Stop()
+	if n.callersListener != nil {
+		if err := n.callersListener.Close(); err != nil {
+			n.logWarning("callers' listener not closed", err, nil)
 		}
 	}
+	if open := n.callers.Drain(ctx); open > 0 {
+		n.logInfo("drain incomplete", fields{"connections": open, "open": n.openRequests.Load()})
+	}
+	for _, server := range n.servers {
+		// No request is open that could be waited for.
+		_ = server.Close()
+	}
 	n.logInfo("stop", fields{"open": n.openRequests.Load(), "drainMs": time.Since(began).Milliseconds()})
 	n.stop()
 }
@@ -342,6 +387,7 @@
 
 func (n *Node) stop() {
 	n.cancel()
+	n.cancelRequests()
 	n.peers.Close()
 	n.workers.Wait()
 	n.metrics.close()
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -35,8 +35,9 @@
 	// whose answer had not begun.
 	connectionLost, engineEnded bool
 	// silent is set if the endpoint had sent nothing for too long when the send
-	// ended, and timeOver if the request's time limit was reached.
-	silent, timeOver bool
+	// ended, timeOver if the request's time limit was reached, and shutdown if the
+	// VM's drain was at its end.
+	silent, timeOver, shutdown bool
 	// replacement is the endpoint at which the request goes on, with what a search
 	// has secured for it; nil if there is none.
 	replacement *replacement
@@ -51,15 +52,18 @@
 
 const (
 	// cutEngineBroke means that the engine broke the answer off or shed the
-	// resumed request, cutEngineSilent that it was silent at the end, and
-	// cutTimeLimit that the request's time was over.
+	// resumed request, cutEngineSilent that it was silent at the end, cutTimeLimit
+	// that the request's time was over, and cutShutdown that this VM's was.
 	cutEngineBroke  cutCause = "engine broke off"
 	cutEngineSilent cutCause = "engine silent"
 	cutTimeLimit    cutCause = "time limit"
+	cutShutdown     cutCause = "shutdown"
 )
 
 func (r sendResult) cutCause() cutCause {
 	switch {
+	case r.shutdown:
+		return cutShutdown
 	case r.silent:
 		return cutEngineSilent
 	case r.timeOver:
@@ -106,6 +110,7 @@
 	case replacement != nil:
 		result.reason, result.silent, result.replacement = "endpoint silent", true, replacement
 	}
+	result.shutdown = !result.done && n.requestsCtx.Err() != nil
 	result.timeOver = !result.done && !time.Now().Before(p.request.Deadline)
 	p.lastSend, p.engineSilence = result, time.Since(tracker.lastBytes)
 	tracker.recordEnd(balancerOutcome(result, ctx.Err() != nil && !silent), result.reason)
