--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -44,6 +44,12 @@
 	excluded map[ids.EndpointID]bool
 	// shedByEndpoint is set once an endpoint shed the request for lack of room.
 	shedByEndpoint bool
+	// searchBegan is when the search for the next endpoint began: at the arrival, or
+	// when a stream that has begun broke off.
+	searchBegan time.Time
+	// besideSend is set for a search for another endpoint while a send goes on.
+	// It waits for nothing and has no adapter loaded.
+	besideSend bool
 	// deniedBy is the engine that last denied having the adapter; nil once its
 	// owner was asked about it.
 	deniedBy *serving.Endpoint
@@ -71,45 +77,58 @@
 	// lastEventID is the id of the last event sent to the caller.
 	lastEventID     string
 	responseStarted bool
-	firstByteAt     time.Time
-	lastChunkAt     time.Time
+	// bodyBytes counts the bytes of the body that were written to the caller.
+	bodyBytes int64
+	// lastSend is the result of the last send that has ended, and engineSilence
+	// the time between the last bytes from its endpoint and its end.
+	lastSend      sendResult
+	engineSilence time.Duration
+	firstByteAt   time.Time
+	lastChunkAt   time.Time
 	// longestGap is the longest pause between two chunks of a stream.
 	longestGap time.Duration
 	charged    bool
 }
 
-// admit reads a request and decides whether it may be served. It returns a
-// refusal if not.
-func (n *Node) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*requestState, *refusal) {
-	call, err := n.headerCodec.ParseRequest(r.Header)
-	p := &requestState{
-		request: &serving.Request{ID: call.RequestID, Arrived: arrived},
-		header:  r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
+func (n *Node) newRequestState(r *http.Request, arrived time.Time) *requestState {
+	return &requestState{
+		request: &serving.Request{Arrived: arrived}, searchBegan: arrived,
+		header: r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
 		excluded: make(map[ids.EndpointID]bool), fullEngines: make(map[ids.EndpointID]bool),
 		pickSalt: n.pickSalt.Add(1),
 	}
+}
+
+// admit reads a request and decides whether it may be served. It returns a
+// refusal if not.
+func (n *Node) admit(w http.ResponseWriter, r *http.Request, p *requestState) *refusal {
+	call, err := n.headerCodec.ParseRequest(r.Header)
+	p.request.ID = call.RequestID
 	if err != nil {
-		return p, refuseStatus(http.StatusBadRequest, err.Error())
+		return refuseStatus(http.StatusBadRequest, err.Error())
 	}
 	if !strings.HasPrefix(p.target, "/") {
-		return p, refuseStatus(http.StatusBadRequest, "the request target is not a path")
+		return refuseStatus(http.StatusBadRequest, "the request target is not a path")
 	}
 	view := n.directory.View()
 	if view.Config == nil {
-		return p, refuseNoConfig("no configuration yet")
+		return refuseNoConfig("no configuration yet")
 	}
 	p.setCall(call)
 	if refused := n.authenticate(view, p, call.Key); refused != nil {
-		return p, refused
+		return refused
 	}
 	p.setDeadline(call.TimeLeft)
+	if end := n.drainEnd.Load(); end != nil && p.request.Deadline.After(*end) {
+		return refuseBusy(retryOtherVM, "the VM shuts down")
+	}
 	if refused := p.readBody(w, r, view.Config.Limits.BodyBytes); refused != nil {
-		return p, refused
+		return refused
 	}
 	if refused := n.checkQuarantine(p); refused != nil {
-		return p, refused
+		return refused
 	}
-	return p, n.chargeCustomer(time.Now(), p, call)
+	return n.chargeCustomer(time.Now(), p, call)
 }
 
 func (p *requestState) setCall(call Call) {
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
+	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 )
@@ -18,14 +21,14 @@
 	// that was loaded only recently.
 	shedRetryDelay = 40 * time.Millisecond
 	// silenceTimeoutFactor is the multiple of the route's objective after which
-	// an unanswered request that may be repeated, or a resumable stream, is
-	// sent to another endpoint. The timeout is at least minSilenceTimeout and
-	// at most silenceTimeoutShare of the time left.
+	// another endpoint is looked for if a request that may be repeated, or a
+	// resumable stream, is not answered. The timeout is at least
+	// minSilenceTimeout and at most silenceTimeoutShare of the time left.
 	silenceTimeoutFactor = 4
 	minSilenceTimeout    = 300 * time.Millisecond
 	silenceTimeoutShare  = 0.45
 	// streamSilenceLimit is how long a resumable stream may complete no event
-	// before it is resumed at another endpoint, or pauseToleranceFactor times the
+	// before another endpoint is looked for, or pauseToleranceFactor times the
 	// objective for its pauses if that is longer. Callers give up after two
 	// seconds, or eight such pauses.
 	streamSilenceLimit   = time.Second
@@ -40,13 +43,19 @@
 	}
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
-	p, refused := n.admit(w, r, arrived)
-	if refused != nil {
+	p := n.newRequestState(r, arrived)
+	defer func() {
+		if cause := recover(); cause != nil {
+			n.endAfterPanic(w, p, cause)
+		}
+	}()
+	if refused := n.admit(w, r, p); refused != nil {
 		n.refuse(w, p, refused)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), p.request.Deadline)
 	defer cancel()
+	defer context.AfterFunc(n.requestsCtx, cancel)()
 	n.dispatch(ctx, w, r, p)
 }
 
@@ -59,27 +68,44 @@
 		n.adapterIndex.beginRequest(key)
 		defer n.adapterIndex.endRequest(key)
 	}
+	var secured *serving.Endpoint
 	for shed, denied := 0, 0; ; {
-		endpoint, refused := n.chooseEndpoint(ctx, p)
-		if refused == nil {
-			refused = n.checkKey(p)
-		}
-		if refused == nil {
-			refused = n.checkQuarantine(p)
-		}
-		if refused != nil {
-			n.endNotRun(r, w, p, refused)
-			return
-		}
-		if !n.admitToEndpoint(ctx, endpoint) {
-			n.releaseGrant(&p.prefillGrant, false)
-			if denied++; denied > maxDenials {
-				n.endNotRun(r, w, p, n.refuseAtLimits(p))
+		endpoint := secured
+		secured = nil
+		if endpoint == nil {
+			var refused *refusal
+			endpoint, refused = n.chooseEndpoint(ctx, p)
+			if refused == nil {
+				refused = n.checkKey(p)
+			}
+			if refused == nil {
+				refused = n.checkQuarantine(p)
+			}
+			if refused != nil {
+				n.releaseGrant(&p.prefillGrant, false)
+				if n.awaitNextSearch(ctx, p, refused) {
+					continue
+				}
+				n.endNotRun(r, w, p, refused)
 				return
 			}
-			continue
+			if !n.admitToEndpoint(ctx, endpoint) {
+				n.releaseGrant(&p.prefillGrant, false)
+				if denied++; denied > maxDenials {
+					refused = n.refuseAtLimits(p)
+					if !n.awaitNextSearch(ctx, p, refused) {
+						n.endNotRun(r, w, p, refused)
+						return
+					}
+				}
+				continue
+			}
 		}
 		result := n.send(ctx, w, p, endpoint)
+		if result.replacement != nil && (ctx.Err() != nil || result.engineEnded && !n.mayRepeatAfterCrash(p)) {
+			n.releaseGrant(&result.replacement.search.prefillGrant, false)
+			result.replacement = nil
+		}
 		switch {
 		case result.done:
 			n.logServed(p, result)
@@ -88,13 +114,20 @@
 			n.logIncomplete(p, "caller left", 0, result.reason)
 			abortConnection()
 			return
+		case result.replacement != nil:
+			p.excluded[endpoint.ID] = true
+			secured = p.continueAt(result.replacement)
+			n.logResend(p, endpoint, result)
 		case result.shed:
 			shed++
 			// A request that never left this VM doesn't count as a repeat.
-			if shed > maxSheds || !result.unreachable && !n.takeRetryBudget(p) {
+			if shed > maxSheds || !result.unreachable && !n.awaitRetryBudget(ctx, p) {
 				n.endNotRun(r, w, p, refuseBusy(retryNoEndpoint, "endpoints shed the request: "+result.reason))
 				return
 			}
+			if p.responseStarted {
+				p.searchBegan = time.Now()
+			}
 			n.prepareAfterShed(ctx, p, endpoint, result)
 		case ctx.Err() != nil:
 			n.fail(w, p, failTimeout())
@@ -102,16 +135,25 @@
 		case result.engineEnded && !n.mayRepeatAfterCrash(p):
 			n.fail(w, p, failMayHaveRun(result.reason))
 			return
-		case !p.request.Route.MayRepeat() || p.possibleRuns >= p.request.Route.Attempts || !n.takeRetryBudget(p):
-			n.fail(w, p, failMayHaveRun(result.reason))
+		case !p.request.Route.MayRepeat() || p.possibleRuns >= p.request.Route.Attempts || !n.awaitRetryBudget(ctx, p):
+			n.endMayHaveRun(r, w, p, failMayHaveRun(result.reason))
 			return
 		default:
 			p.excluded[endpoint.ID] = true
-			n.logInfo("sending the request to another endpoint", fields{"request": p.request.ID, "endpoint": endpoint.ID, "reason": result.reason, "runs": p.possibleRuns})
+			if p.responseStarted {
+				p.searchBegan = time.Now()
+			}
+			n.logResend(p, endpoint, result)
 		}
 	}
 }
 
+func (n *Node) logResend(p *requestState, left *serving.Endpoint, result sendResult) {
+	n.logInfo("sending the request to another endpoint", fields{
+		"request": p.request.ID, "endpoint": left.ID, "reason": result.reason, "runs": p.possibleRuns, "engineSilenceMs": p.engineSilence.Milliseconds(),
+	})
+}
+
 // chooseEndpoint returns the endpoint for the next send.
 func (n *Node) chooseEndpoint(ctx context.Context, p *requestState) (*serving.Endpoint, *refusal) {
 	if p.request.Service.Engine != nil && p.request.Adapter != "" {
@@ -119,7 +161,9 @@
 	}
 	now := time.Now()
 	endpoints := n.eligible(n.directory.View(), p)
-	if len(endpoints) == 0 && len(p.excluded) > 0 {
+	if p.besideSend {
+		endpoints = n.available(now, endpoints)
+	} else if len(endpoints) == 0 && len(p.excluded) > 0 {
 		if p.shedByEndpoint {
 			// Each endpoint was asked; another round would only add load.
 			return nil, refuseBusy(retryNoEndpoint, "all endpoints shed the request")
@@ -177,17 +221,50 @@
 	n.refuse(w, p, refused)
 }
 
+// endMayHaveRun ends a request that may have run and can't be sent again.
+func (n *Node) endMayHaveRun(r *http.Request, w http.ResponseWriter, p *requestState, failed *refusal) {
+	if r.Context().Err() != nil {
+		n.logIncomplete(p, "caller left", 0, failed.reason)
+		abortConnection()
+		return
+	}
+	n.fail(w, p, failed)
+}
+
 // fail answers a request that may have run. If the response has already
 // started, it aborts the connection instead.
 func (n *Node) fail(w http.ResponseWriter, p *requestState, failed *refusal) {
 	if p.responseStarted {
-		n.logIncomplete(p, "cut", 0, failed.reason)
+		n.logCut(p, failed.reason)
 		abortConnection()
 		return
 	}
 	n.refuse(w, p, failed)
 }
 
+// endAfterPanic answers a request whose handler panicked; net/http would close
+// the caller's connection without an answer. A panic of abortConnection goes on.
+func (n *Node) endAfterPanic(w http.ResponseWriter, p *requestState, cause any) {
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	n.log.WithFields(fields{
+		observability.FieldStep: "handler failed", "request": p.request.ID, "endpoint": p.lastEndpoint, "sends": p.sends,
+		"error": fmt.Sprint(cause), "stack": string(debug.Stack()),
+	}).Error("handler failed")
+	n.releaseGrant(&p.prefillGrant, false)
+	failed := refuseBusy(retryNoEndpoint, "internal error")
+	if p.possibleRuns > 0 {
+		failed = failMayHaveRun("internal error")
+	}
+	if !p.responseStarted {
+		// The header may hold a part of an endpoint's answer.
+		clear(w.Header())
+		w.Header().Set("Connection", "close")
+	}
+	n.fail(w, p, failed)
+}
+
 // abortConnection closes the caller's connection, so that an incomplete answer
 // never looks complete. It does not return.
 func abortConnection() { panic(http.ErrAbortHandler) }
@@ -209,8 +286,8 @@
 	w.WriteHeader(refused.status)
 }
 
-// silenceTimeout returns how long a send may stay unanswered before the request
-// is sent to another endpoint; 0 means that it is not sent again.
+// silenceTimeout returns how long a send may stay unanswered before another
+// endpoint is looked for; 0 means that the request is not sent again.
 func (p *requestState) silenceTimeout(left time.Duration) time.Duration {
 	route := p.request.Route
 	if !route.MayRepeat() || p.possibleRuns >= route.Attempts {
@@ -227,6 +304,13 @@
 	return n.retryBudget(p.request.Service.Name, time.Now()).TakeRetry(time.Now())
 }
 
+// retryBudgetLeft reports whether takeRetryBudget would allow a send now.
+func (n *Node) retryBudgetLeft(p *requestState) bool {
+	n.retryBudgetsMu.Lock()
+	defer n.retryBudgetsMu.Unlock()
+	return n.retryBudget(p.request.Service.Name, time.Now()).HasRetry(time.Now())
+}
+
 func (n *Node) recordRequest(p *requestState) {
 	n.retryBudgetsMu.Lock()
 	n.retryBudget(p.request.Service.Name, time.Now()).AddRequest(time.Now())
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/balance"
@@ -35,43 +34,42 @@
 	// engineEnded if that was because the engine's process ended under a request
 	// whose answer had not begun.
 	connectionLost, engineEnded bool
+	// silent is set if the endpoint had sent nothing for too long when the send
+	// ended, timeOver if the request's time limit was reached, and shutdown if the
+	// VM's drain was at its end.
+	silent, timeOver, shutdown bool
+	// replacement is the endpoint at which the request goes on, with what a search
+	// has secured for it; nil if there is none.
+	replacement *replacement
 
 	reason string
 	bytes  int64
 }
 
-// silenceTimer cancels a send if the endpoint sends nothing for too long.
-type silenceTimer struct {
-	timer *time.Timer
-	fired atomic.Bool
-}
-
-func startSilenceTimer(limit time.Duration, cancel context.CancelFunc) *silenceTimer {
-	d := &silenceTimer{}
-	if limit > 0 {
-		d.timer = time.AfterFunc(limit, func() {
-			d.fired.Store(true)
-			cancel()
-		})
-	}
-	return d
-}
+// cutCause says what ended the last send before a caller's connection had to be
+// closed inside the answer.
+type cutCause string
 
-func (d *silenceTimer) reset(limit time.Duration) {
-	if d.timer == nil {
-		return
-	}
-	if limit <= 0 {
-		d.timer.Stop()
-		return
-	}
-	d.timer.Reset(limit)
-}
+const (
+	// cutEngineBroke means that the engine broke the answer off or shed the
+	// resumed request, cutEngineSilent that it was silent at the end, cutTimeLimit
+	// that the request's time was over, and cutShutdown that this VM's was.
+	cutEngineBroke  cutCause = "engine broke off"
+	cutEngineSilent cutCause = "engine silent"
+	cutTimeLimit    cutCause = "time limit"
+	cutShutdown     cutCause = "shutdown"
+)
 
-func (d *silenceTimer) stop() {
-	if d.timer != nil {
-		d.timer.Stop()
+func (r sendResult) cutCause() cutCause {
+	switch {
+	case r.shutdown:
+		return cutShutdown
+	case r.silent:
+		return cutEngineSilent
+	case r.timeOver:
+		return cutTimeLimit
 	}
+	return cutEngineBroke
 }
 
 // send sends a request to one endpoint and relays its answer to the caller.
@@ -85,21 +83,37 @@
 	defer cancel()
 	p.sends++
 	p.possibleRuns++
-	silence := startSilenceTimer(p.silenceTimeout(left), cancel)
+	silence := n.watchSilence(sendCtx, cancel, p, e.ID, p.silenceTimeout(left))
 	defer silence.stop()
 	n.balanceMu.Lock()
 	n.balancer.Begin(now, e.ID)
 	n.balanceMu.Unlock()
 	p.lastEndpoint = e.ID
-	tracker := &sendTracker{node: n, endpoint: e, sent: now, prefillGrant: &p.prefillGrant}
+	tracker := &sendTracker{node: n, endpoint: e, sent: now, lastBytes: now, prefillGrant: &p.prefillGrant}
+	ended := false
+	defer func() {
+		// After a panic, the endpoint no longer works on this send.
+		if !ended {
+			tracker.recordEnd(balance.Abandoned, "handler failed")
+		}
+	}()
 	result := n.roundTrip(sendCtx, w, p, e, left, silence, tracker)
+	ended = true
+	replacement, silent := silence.stop()
 	if result.shed {
 		p.possibleRuns--
 	}
-	if silence.fired.Load() && !result.done {
-		result.reason = "endpoint silent"
+	result.silent = silent && !result.done && !result.connectionLost
+	switch {
+	case replacement != nil && result.done:
+		n.releaseGrant(&replacement.search.prefillGrant, false)
+	case replacement != nil:
+		result.reason, result.silent, result.replacement = "endpoint silent", true, replacement
 	}
-	tracker.recordEnd(balancerOutcome(result, ctx.Err() != nil && !silence.fired.Load()), result.reason)
+	result.shutdown = !result.done && n.requestsCtx.Err() != nil
+	result.timeOver = !result.done && !time.Now().Before(p.request.Deadline)
+	p.lastSend, p.engineSilence = result, time.Since(tracker.lastBytes)
+	tracker.recordEnd(balancerOutcome(result, ctx.Err() != nil && !silent), result.reason)
 	if result.connectionLost && !tracker.answerBegan && sendCtx.Err() == nil {
 		result.engineEnded = n.examineBrokenSend(p, e, now, result.reason)
 	}
@@ -117,6 +131,9 @@
 	// arrived.
 	answerBegan  bool
 	prefillGrant *prefillGrant
+	// lastBytes is when the endpoint last sent a part of the answer's body; at
+	// first it is the time of the send.
+	lastBytes time.Time
 }
 
 // recordAnswerBegan is called when a whole event of a stream, or another answer,
@@ -159,7 +176,7 @@
 	}
 }
 
-func (n *Node) roundTrip(ctx context.Context, w http.ResponseWriter, p *requestState, e *serving.Endpoint, left time.Duration, silence *silenceTimer, tracker *sendTracker) sendResult {
+func (n *Node) roundTrip(ctx context.Context, w http.ResponseWriter, p *requestState, e *serving.Endpoint, left time.Duration, silence *silenceWatch, tracker *sendTracker) sendResult {
 	var connection net.Conn
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn }})
 	response, err := n.client.Do(n.buildRequest(traced, p, e, left))
@@ -203,6 +220,10 @@
 // it may be.
 func unusableReason(status int, answer Answer) string {
 	switch {
+	case status < http.StatusOK:
+		// net/http sends no such status as the final one of an answer, and panics if
+		// it is below 100.
+		return "status " + strconv.Itoa(status) + " does not end an answer"
 	case !answer.Signed:
 		return "the answer is not signed"
 	case answer.Encoded:
@@ -242,7 +263,7 @@
 // relayBuffered reads the complete answer before it sends any of it to the
 // caller, so that the request can still be sent to another endpoint if the
 // answer is incomplete.
-func (n *Node) relayBuffered(w http.ResponseWriter, p *requestState, response *http.Response, answer Answer, silence *silenceTimer, tracker *sendTracker) sendResult {
+func (n *Node) relayBuffered(w http.ResponseWriter, p *requestState, response *http.Response, answer Answer, silence *silenceWatch, tracker *sendTracker) sendResult {
 	body, release, err := n.answerMemory.readAll(response.Body)
 	defer release()
 	if err != nil {
@@ -261,7 +282,9 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(response.StatusCode)
 	p.responseStarted = true
-	if _, err := w.Write(body); err != nil {
+	count, err := w.Write(body)
+	p.bodyBytes += int64(count)
+	if err != nil {
 		return sendResult{reason: "caller left: " + err.Error()}
 	}
 	return sendResult{done: true, status: response.StatusCode, bytes: int64(len(body))}
@@ -272,6 +295,9 @@
 	for name, values := range answer.Header {
 		header[name] = values
 	}
+	// Only the caller of this function knows whether the body will have the length
+	// that the endpoint states: another one may continue a stream.
+	header.Del("Content-Length")
 	if n.draining.Load() {
 		header.Set("Connection", "close")
 	}
