Tell restarted VMs of claims that were given up and of noticed orders

Change, where engines check no fences: state messages carry one contact state, with the silent VMs, the claims that are held or were given up within the lease, and the noticed orders, each with its age. A noticed order counts for four leases, and not once a claim of another VM was heard. Ages from peers are never negative.

--- a/pkg/coordination/authority/authority.go
+++ b/pkg/coordination/authority/authority.go
@@ -42,6 +42,8 @@
 	// decides which VM may send orders; the exchanges must then take place
 	// several times within half of the lease.
 	EnginesCheckFences bool
+	// Boot is the run of this VM's process.
+	Boot ids.BootID
 	// Seeds are VMs that may be running although they were not heard yet.
 	Seeds []ids.VMID
 }
@@ -106,6 +108,8 @@
 	// tokens.
 
 	contact contact
+	// releasedClaims holds the claims that this VM gave up in the last lease.
+	releasedClaims map[ids.DataCentreID]releasedClaim
 	// unconfirmedClaims holds the claims of which some peer may not know yet, and
 	// when they were made.
 	unconfirmedClaims map[ids.DataCentreID]time.Time
@@ -114,9 +118,12 @@
 	// watchedSince holds the data centres that this VM would claim, and since
 	// when it has read the reports of their engines.
 	watchedSince map[ids.DataCentreID]time.Time
-	// foreignOrders holds the data centres in which another VM sent an order
-	// while this VM held or was about to make the claim.
-	foreignOrders map[ids.DataCentreID]bool
+	// foreignOrders holds the data centres in which this VM or a peer noticed an
+	// order of another VM while it held or was about to make the claim, and when.
+	foreignOrders map[ids.DataCentreID]time.Time
+	// claimHeardAt is when a claim of another VM on a data centre was last heard.
+	// It explains the orders that were noticed before.
+	claimHeardAt map[ids.DataCentreID]time.Time
 }
 
 // New returns the authority of a VM that has just started.
@@ -128,10 +135,12 @@
 		peerClaims: make(map[ids.DataCentreID]map[ids.VMID]*peerClaim),
 
 		contact:           newContact(config, now),
+		releasedClaims:    make(map[ids.DataCentreID]releasedClaim),
 		unconfirmedClaims: make(map[ids.DataCentreID]time.Time),
 		claimedAlone:      make(map[ids.DataCentreID]bool),
 		watchedSince:      make(map[ids.DataCentreID]time.Time),
-		foreignOrders:     make(map[ids.DataCentreID]bool),
+		foreignOrders:     make(map[ids.DataCentreID]time.Time),
+		claimHeardAt:      make(map[ids.DataCentreID]time.Time),
 	}
 }
 
@@ -147,9 +156,9 @@
 			a.peerClaims[claim.DataCentre] = make(map[ids.VMID]*peerClaim)
 		}
 		a.peerClaims[claim.DataCentre][holder] = &peerClaim{boot: boot, fence: claim.Fence, lastHeardAt: now, alone: claim.Alone}
-		delete(a.foreignOrders, claim.DataCentre)
+		a.claimHeardAt[claim.DataCentre] = now
 		if ownFence, holds := a.ownFences[claim.DataCentre]; holds && claim.Fence > ownFence {
-			delete(a.ownFences, claim.DataCentre)
+			a.dropClaim(now, claim.DataCentre)
 		}
 	}
 	for dc, byHolder := range a.peerClaims {
@@ -314,7 +323,7 @@
 	for _, dc := range dataCentres {
 		if _, holds := a.ownFences[dc]; holds {
 			if dc != a.config.DataCentre && a.hasSettledLocalCandidate(dc, candidates, now) || dc == a.config.DataCentre && a.hasMuchLargerCandidate(candidates, now) {
-				delete(a.ownFences, dc)
+				a.dropClaim(now, dc)
 			}
 			continue
 		}
@@ -420,7 +429,7 @@
 			return false
 		}
 		if claim.alone && !claim.released {
-			a.foreignOrders[dc] = true
+			a.foreignOrders[dc] = now
 		}
 		delete(a.peerClaims[dc], holder)
 	}
--- a/pkg/coordination/authority/authority_test.go
+++ b/pkg/coordination/authority/authority_test.go
@@ -37,7 +37,9 @@
 	lastFaultAt time.Time
 	stalled     bool
 	heard       map[ids.VMID]time.Time
-	authority   *authority.Authority
+	// enginesCheckFences is a setting of the deployment.
+	enginesCheckFences bool
+	authority          *authority.Authority
 }
 
 func newVM(i int, now time.Time) *vm {
@@ -52,6 +54,7 @@
 	v.heard = make(map[ids.VMID]time.Time)
 	v.authority = authority.New(authority.Config{
 		Self: v.id, DataCentre: v.dc, FenceSuffix: v.fenceSuffix, Lease: lease, FirstClaimDelay: claimDelay, SuspendTime: 600 * time.Millisecond,
+		EnginesCheckFences: v.enginesCheckFences,
 	}, now)
 }
 
@@ -70,9 +73,12 @@
 func TestOneHolderAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(2, 6).Draw(t, "vms")
+		checkFences := rapid.Bool().Draw(t, "engines check fences")
 		vms := make([]*vm, count)
 		for i := range vms {
 			vms[i] = newVM(i, start)
+			vms[i].enginesCheckFences = checkFences
+			vms[i].restart(start)
 		}
 		isolated := -1
 		var orders []order
@@ -179,8 +185,17 @@
 
 // Guards against engines that no VM orders after their holder is lost.
 func TestLostHolderIsReplaced(t *testing.T) {
+	t.Run("engines check fences", func(t *testing.T) { testLostHolderIsReplaced(t, true) })
+	t.Run("engines check no fences", func(t *testing.T) { testLostHolderIsReplaced(t, false) })
+}
+
+func testLostHolderIsReplaced(t *testing.T, enginesCheckFences bool) {
 	a, b := newVM(0, start), newVM(2, start)
 	vms := []*vm{a, b}
+	for _, v := range vms {
+		v.enginesCheckFences = enginesCheckFences
+		v.restart(start)
+	}
 	step := func(from, to int, cut int) {
 		for i := from; i < to; i++ {
 			now := start.Add(time.Duration(i) * tick)
--- a/pkg/coordination/authority/contact.go
+++ b/pkg/coordination/authority/contact.go
@@ -187,78 +187,157 @@
 
 // silentHolderWait returns how long after the last message of a silent holder
 // another VM may claim: the lease, which counts from the holder's last order.
-// Without fences a holder may send orders until its contact has ended, and a VM
-// without contact waits for one with contact to take over.
+// Without fences a holder may send orders until its contact has ended.
 func (a *Authority) silentHolderWait() time.Duration {
 	if a.config.EnginesCheckFences {
 		return a.config.Lease
 	}
-	wait := time.Duration((1 + contactWindowShare + maxTickAgeShare) * float64(a.config.Lease))
-	if !a.contact.held {
-		wait += a.config.Lease
+	return time.Duration((1 + contactWindowShare + maxTickAgeShare) * float64(a.config.Lease))
+}
+
+// ContactState is what VMs tell each other where engines check no fencing
+// tokens, for VMs that have just started.
+type ContactState struct {
+	VMs []KnownVM `json:"vms,omitempty"`
+	// ForeignOrders holds the data centres in which an order of another VM was
+	// noticed, and how many milliseconds ago.
+	ForeignOrders map[ids.DataCentreID]int64 `json:"foreign,omitempty"`
+}
+
+// ContactState returns what this VM tells its peers; nil if engines check fencing
+// tokens.
+func (a *Authority) ContactState(now time.Time) *ContactState {
+	if a.config.EnginesCheckFences {
+		return nil
+	}
+	state := &ContactState{VMs: a.knownVMs(now), ForeignOrders: make(map[ids.DataCentreID]int64)}
+	for dc, noticedAt := range a.foreignOrders {
+		if a.hasForeignOrders(now, dc) {
+			state.ForeignOrders[dc] = now.Sub(noticedAt).Milliseconds()
+		}
+	}
+	return state
+}
+
+// ApplyContactState records what a peer tells.
+func (a *Authority) ApplyContactState(now time.Time, state *ContactState) {
+	if a.config.EnginesCheckFences || state == nil {
+		return
+	}
+	a.applyKnownVMs(now, state.VMs)
+	for dc, ageMs := range state.ForeignOrders {
+		noticedAt := before(now, ageMs)
+		if _, holds := a.ownFences[dc]; !holds && noticedAt.After(a.foreignOrders[dc]) {
+			a.foreignOrders[dc] = noticedAt
+		}
 	}
-	return wait
 }
 
-// KnownVM is a VM that holds claims, or that is silent and may be running.
+// KnownVM is a VM that holds or held claims, or that is silent and may be
+// running.
 type KnownVM struct {
 	VM ids.VMID `json:"vm"`
 	// SilentMs is how long ago the VM was last known to be running.
 	SilentMs int64 `json:"silent"`
-	// Claims are the claims that the VM held when it was last heard, ClaimsMs ago,
-	// and Boot is its run at that time.
-	Boot     ids.BootID `json:"boot,omitempty"`
-	Claims   []Claim    `json:"claims,omitempty"`
-	ClaimsMs int64      `json:"claimsAge,omitempty"`
+	// Boot is the run of the VM that holds or held Claims.
+	Boot   ids.BootID   `json:"boot,omitempty"`
+	Claims []KnownClaim `json:"claims,omitempty"`
 }
 
-// KnownVMs returns the other VMs that hold claims and those that this VM has
-// heard before and does not reach, sorted by ID. From them a VM that has just
-// started learns of claims, and of how many VMs it has to reach a majority.
-func (a *Authority) KnownVMs(now time.Time) []KnownVM {
-	if a.config.EnginesCheckFences {
-		return nil
+// KnownClaim is a claim of another VM, or one that the sender gave up.
+type KnownClaim struct {
+	Claim
+	// AgeMs is how long ago the holder was last heard to hold the claim, or to
+	// have given it up if Released is set.
+	AgeMs    int64 `json:"age"`
+	Released bool  `json:"released,omitempty"`
+}
+
+// releasedClaim is a claim that this VM gave up.
+type releasedClaim struct {
+	fence ids.FencingToken
+	at    time.Time
+}
+
+// dropClaim gives up a claim. Its data centre may be claimed again after the
+// lease, also by a VM that starts meanwhile.
+func (a *Authority) dropClaim(now time.Time, dc ids.DataCentreID) {
+	if !a.config.EnginesCheckFences {
+		a.releasedClaims[dc] = releasedClaim{fence: a.ownFences[dc], at: now}
 	}
-	holdings := make(map[ids.VMID]HolderClaims)
-	for _, holding := range a.ClaimsByHolder() {
-		holdings[holding.Holder] = holding
+	delete(a.ownFences, dc)
+}
+
+// knownVMs returns the VMs with claims and those that this VM has heard before
+// and does not reach, sorted by ID. From them a VM that has just started learns
+// of claims, and of how many VMs it has to reach a majority.
+func (a *Authority) knownVMs(now time.Time) []KnownVM {
+	byID := make(map[ids.VMID]*KnownVM)
+	add := func(id ids.VMID, seenAt time.Time) *KnownVM {
+		if byID[id] == nil {
+			byID[id] = &KnownVM{VM: id, SilentMs: now.Sub(seenAt).Milliseconds()}
+		}
+		return byID[id]
 	}
-	var known []KnownVM
 	for id, p := range a.contact.peers {
-		holding, holds := holdings[id]
-		if p.unheard || p.seenAt.IsZero() || p.alive && !holds {
-			continue
+		if !p.unheard && !p.seenAt.IsZero() && !p.alive {
+			add(id, p.seenAt)
 		}
-		vm := KnownVM{VM: id, SilentMs: now.Sub(p.seenAt).Milliseconds(), Boot: holding.Boot, Claims: holding.Claims}
-		for _, claim := range holding.Claims {
-			vm.ClaimsMs = now.Sub(a.peerClaims[claim.DataCentre][id].lastHeardAt).Milliseconds()
+	}
+	for dc, byHolder := range a.peerClaims {
+		for id, claim := range byHolder {
+			p := a.contact.peers[id]
+			if p == nil || p.seenAt.IsZero() {
+				continue
+			}
+			vm := add(id, p.seenAt)
+			vm.Boot = claim.boot
+			vm.Claims = append(vm.Claims, KnownClaim{
+				Claim: Claim{DataCentre: dc, Fence: claim.fence, Alone: claim.alone},
+				AgeMs: now.Sub(claim.lastHeardAt).Milliseconds(), Released: claim.released,
+			})
+		}
+	}
+	for dc, released := range a.releasedClaims {
+		if now.Sub(released.at) >= a.config.Lease {
+			delete(a.releasedClaims, dc)
+			continue
 		}
-		known = append(known, vm)
+		vm := add(a.config.Self, now)
+		vm.Boot = a.config.Boot
+		vm.Claims = append(vm.Claims, KnownClaim{Claim: Claim{DataCentre: dc, Fence: released.fence}, AgeMs: now.Sub(released.at).Milliseconds(), Released: true})
+	}
+	known := make([]KnownVM, 0, len(byID))
+	for _, vm := range byID {
+		sort.Slice(vm.Claims, func(i, j int) bool { return vm.Claims[i].DataCentre < vm.Claims[j].DataCentre })
+		known = append(known, *vm)
 	}
 	sort.Slice(known, func(i, j int) bool { return known[i].VM < known[j].VM })
 	return known
 }
 
-// ApplyKnownVMs records the VMs that a peer knows.
-func (a *Authority) ApplyKnownVMs(now time.Time, known []KnownVM) {
-	if a.config.EnginesCheckFences {
-		return
-	}
+// applyKnownVMs records the VMs that a peer knows.
+func (a *Authority) applyKnownVMs(now time.Time, known []KnownVM) {
 	for _, k := range known {
-		seenAt := now.Add(-time.Duration(k.SilentMs) * time.Millisecond)
+		seenAt := before(now, k.SilentMs)
 		if k.VM == a.config.Self || k.VM == "" || now.Sub(seenAt) > peerMemory {
 			continue
 		}
 		if p := a.contact.peer(k.VM); seenAt.After(p.seenAt) || p.unheard {
 			p.seenAt, p.unheard = seenAt, false
 		}
-		a.applyKnownClaims(now.Add(-time.Duration(k.ClaimsMs)*time.Millisecond), k)
+		a.applyKnownClaims(now, k)
 	}
 }
 
-// applyKnownClaims records claims that their holder had at the given time,
-// unless the holder itself was heard since.
-func (a *Authority) applyKnownClaims(heardAt time.Time, k KnownVM) {
+// before returns the time that a peer says was ageMs ago.
+func before(now time.Time, ageMs int64) time.Time {
+	return now.Add(-time.Duration(max(ageMs, 0)) * time.Millisecond)
+}
+
+// applyKnownClaims records claims that a peer knows, unless something newer is
+// known of them.
+func (a *Authority) applyKnownClaims(now time.Time, k KnownVM) {
 	for _, claim := range k.Claims {
 		a.highestFence = max(a.highestFence, claim.Fence)
 		byHolder := a.peerClaims[claim.DataCentre]
@@ -266,8 +345,9 @@
 			byHolder = make(map[ids.VMID]*peerClaim)
 			a.peerClaims[claim.DataCentre] = byHolder
 		}
+		heardAt := before(now, claim.AgeMs)
 		if previous := byHolder[k.VM]; previous == nil || previous.lastHeardAt.Before(heardAt) {
-			byHolder[k.VM] = &peerClaim{boot: k.Boot, fence: claim.Fence, lastHeardAt: heardAt, alone: claim.Alone}
+			byHolder[k.VM] = &peerClaim{boot: k.Boot, fence: claim.Fence, lastHeardAt: heardAt, alone: claim.Alone, released: claim.Released}
 		}
 	}
 }
@@ -288,7 +368,7 @@
 	if now.Sub(lastHeldAt) >= a.contact.window {
 		for dc := range a.ownFences {
 			if !a.claimedAlone[dc] {
-				delete(a.ownFences, dc)
+				a.dropClaim(now, dc)
 			}
 		}
 		if a.contact.held && len(a.contact.peers) > 0 {
@@ -324,7 +404,7 @@
 // forbids: it has contact, or it has read the engines' reports for long enough
 // without a sign of another holder.
 func (a *Authority) watchCompleted(now, wallClock time.Time, dc ids.DataCentreID) bool {
-	if a.config.EnginesCheckFences || a.contact.held && !a.foreignOrders[dc] {
+	if a.config.EnginesCheckFences || a.contact.held && !a.hasForeignOrders(now, dc) {
 		return true
 	}
 	since, watched := a.watchedSince[dc]
@@ -335,6 +415,17 @@
 	return now.Sub(since) >= watchLeases*a.config.Lease && (a.contact.held || a.inStartSlot(wallClock))
 }
 
+// hasForeignOrders reports whether an order of another VM was noticed recently
+// and no VM that claims the data centre was heard since.
+func (a *Authority) hasForeignOrders(now time.Time, dc ids.DataCentreID) bool {
+	noticedAt, noticed := a.foreignOrders[dc]
+	return noticed && noticedAt.After(a.claimHeardAt[dc]) && now.Sub(noticedAt) < foreignOrderLeases*a.config.Lease
+}
+
+// foreignOrderLeases is how many leases an order of another VM is remembered.
+// A VM that watches notices the next one earlier.
+const foreignOrderLeases = 2 * watchLeases
+
 // Watched returns the data centres whose engines' reports this VM has to read
 // although it may not send them orders now.
 func (a *Authority) Watched(now time.Time) []ids.DataCentreID {
@@ -356,13 +447,13 @@
 // ForeignOrderSeen records that an engine of a data centre has accepted an
 // order of another VM. It reports whether this VM gave up a claim. The next
 // claim needs a time without such orders.
-func (a *Authority) ForeignOrderSeen(dc ids.DataCentreID) bool {
+func (a *Authority) ForeignOrderSeen(now time.Time, dc ids.DataCentreID) bool {
 	if a.config.EnginesCheckFences {
 		return false
 	}
 	_, held := a.ownFences[dc]
 	delete(a.ownFences, dc)
 	delete(a.watchedSince, dc)
-	a.foreignOrders[dc] = true
+	a.foreignOrders[dc] = now
 	return held
 }
--- a/pkg/coordination/authority/contact_test.go
+++ b/pkg/coordination/authority/contact_test.go
@@ -73,7 +73,7 @@
 	v.restart(f.now)
 	v.authority = authority.New(authority.Config{
 		Self: v.id, DataCentre: v.dc, FenceSuffix: v.fenceSuffix, Lease: lease, FirstClaimDelay: claimDelay, SuspendTime: 600 * time.Millisecond,
-		Seeds: []ids.VMID{f.vms[0].id, f.vms[1].id},
+		Boot: v.bootID(), Seeds: []ids.VMID{f.vms[0].id, f.vms[1].id},
 	}, f.now)
 	f.seen[v.id] = -1
 }
@@ -92,7 +92,7 @@
 			a.authority.ObserveFence(b.authority.HighestFence())
 			a.authority.ApplyClaims(f.now, b.id, b.bootID(), b.authority.Claims())
 			a.authority.RefreshHolder(f.now, b.id)
-			a.authority.ApplyKnownVMs(f.now, b.authority.KnownVMs(f.now))
+			a.authority.ApplyContactState(f.now, b.authority.ContactState(f.now))
 			if !f.mute[a.id] {
 				a.authority.Confirm(b.id, f.now)
 			}
@@ -121,7 +121,7 @@
 		}
 	}
 	if known := f.seen[v.id]; known >= 0 && foreign > known {
-		v.authority.ForeignOrderSeen(dc)
+		v.authority.ForeignOrderSeen(f.now, dc)
 	}
 	f.seen[v.id] = foreign
 }
@@ -318,3 +318,99 @@
 	_, allowed := f.vms[0].authority.Fence(f.now, dc)
 	assert.Assert(t, !allowed)
 }
+
+// connectedVM returns a VM in contact with two others, which holds the claim,
+// and the time of its last tick. step lets a tick pass in which it hears the
+// given ones, of which the first reports claims.
+func connectedVM(t *testing.T) (v *authority.Authority, now time.Time, step func(heard []ids.VMID, claims ...authority.Claim)) {
+	t.Helper()
+	v = authority.New(authority.Config{Self: "vm-0", DataCentre: dc, FenceSuffix: 1, Lease: lease, FirstClaimDelay: claimDelay, SuspendTime: 600 * time.Millisecond}, start)
+	now = start
+	heardAt := make(map[ids.VMID]time.Time)
+	step = func(heard []ids.VMID, claims ...authority.Claim) {
+		now = now.Add(tick)
+		for i, id := range heard {
+			heardAt[id] = now
+			if i > 0 {
+				claims = nil
+			}
+			v.ApplyClaims(now, id, "1", claims)
+			v.RefreshHolder(now, id)
+			v.Confirm(id, now)
+		}
+		var alive []authority.Candidate
+		for _, id := range []ids.VMID{"vm-1", "vm-2"} {
+			if at, known := heardAt[id]; known && now.Sub(at) <= time.Second {
+				alive = append(alive, authority.Candidate{ID: id, DataCentre: "dc-1", Boot: "1", Started: start})
+			}
+		}
+		v.Tick(now, now, false, []ids.DataCentreID{dc}, alive)
+	}
+	for range 16 {
+		step([]ids.VMID{"vm-1", "vm-2"})
+	}
+	_, allowed := v.Fence(now, dc)
+	assert.Assert(t, allowed)
+	return v, now, step
+}
+
+// Guards against an order of a process that was stopped, before it has looked at
+// the messages of its peers.
+func TestNoOrderWithoutARecentTick(t *testing.T) {
+	v, now, _ := connectedVM(t)
+	_, allowed := v.Fence(now.Add(lease/2), dc)
+	assert.Assert(t, !allowed)
+}
+
+// Guards against a VM that orders at once when it is connected again, before it
+// has heard of the claim that another VM made meanwhile, and against one that
+// still has its old claim then.
+func TestVMThatIsConnectedAgainListensFirst(t *testing.T) {
+	v, now, step := connectedVM(t)
+	ticks := int(lease / tick)
+	for range ticks {
+		step(nil)
+	}
+	assert.Equal(t, len(v.Claims()), 0)
+	for i := range 4 {
+		step([]ids.VMID{"vm-1", "vm-2"})
+		_, allowed := v.Fence(now.Add(time.Duration(ticks+i+1)*tick), dc)
+		assert.Assert(t, !allowed, "an order %d ticks after the cut", i+1)
+	}
+}
+
+// Guards against a VM that takes over at once from a holder that orders without
+// contact, which goes on when it is cut off.
+func TestSilentHolderWithoutContactIsWatched(t *testing.T) {
+	v, now, step := connectedVM(t)
+	v.Release()
+	claim := authority.Claim{DataCentre: dc, Fence: 1 << 50, Alone: true}
+	for range 8 {
+		step([]ids.VMID{"vm-1", "vm-2"}, claim)
+	}
+	ticks := int(2 * lease / tick)
+	for range ticks {
+		step([]ids.VMID{"vm-2"})
+	}
+	now = now.Add(time.Duration(8+ticks) * tick)
+	assert.Equal(t, len(v.Claims()), 0)
+	assert.Assert(t, slices.Contains(v.Watched(now), dc))
+}
+
+// Guards against a VM that waits before it claims, because a peer that was cut
+// off noticed the orders of a holder that this VM hears.
+func TestOrdersOfAKnownHolderDelayNoClaim(t *testing.T) {
+	v, now, step := connectedVM(t)
+	v.Release()
+	claim := authority.Claim{DataCentre: dc, Fence: 1 << 50}
+	for range 4 {
+		now = now.Add(tick)
+		v.ApplyContactState(now, &authority.ContactState{ForeignOrders: map[ids.DataCentreID]int64{dc: 300}})
+		step([]ids.VMID{"vm-1", "vm-2"}, claim)
+	}
+	assert.Equal(t, len(v.ContactState(now).ForeignOrders), 0)
+	for range int(lease/tick) + 2 {
+		step([]ids.VMID{"vm-1", "vm-2"})
+	}
+	assert.Equal(t, len(v.Claims()), 1)
+}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -72,9 +72,8 @@
 	Claims []authority.Claim `json:"claims,omitempty"`
 	// HighestFence is the highest fencing token that the sender knows of.
 	HighestFence ids.FencingToken `json:"fence,omitempty"`
-	// KnownVMs are other VMs that hold claims or are silent, sent if engines check
-	// no fencing tokens.
-	KnownVMs []authority.KnownVM `json:"known,omitempty"`
+	// Contact is sent if engines check no fencing tokens.
+	Contact *authority.ContactState `json:"contact,omitempty"`
 	// RelayedClaims are the claims of the other VMs. A relay sends them to its
 	// leaves.
 	RelayedClaims []authority.HolderClaims `json:"holdings,omitempty"`
@@ -280,7 +279,7 @@
 	s.Announcement = n.fleet.Self(now)
 	s.Roster, s.RosterSeen = n.fleet.Roster(now, to), n.fleet.RosterSeen(to)
 	leaves, orders := n.fleet.Leaves(now), n.fleet.OrdersEngines(to)
-	s.Claims, s.HighestFence, s.KnownVMs = n.authority.Claims(), n.authority.HighestFence(), n.authority.KnownVMs(now)
+	s.Claims, s.HighestFence, s.Contact = n.authority.Claims(), n.authority.HighestFence(), n.authority.ContactState(now)
 	if scope == scopeFleet {
 		s.RelayedClaims = n.authority.ClaimsByHolder()
 	}
@@ -348,7 +347,7 @@
 	n.authority.ObserveFence(s.HighestFence)
 	n.authority.ApplyClaims(now, s.ID, s.Boot, s.Claims)
 	n.authority.RefreshHolder(now, s.ID)
-	n.authority.ApplyKnownVMs(now, s.KnownVMs)
+	n.authority.ApplyContactState(now, s.Contact)
 	if s.Echo != nil && s.Echo.Boot == n.boot {
 		n.authority.Confirm(s.ID, now.Add(n.bootTimeAtStart.Add(time.Duration(s.Echo.SentMs)*time.Millisecond).Sub(n.bootTime())))
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -161,18 +161,18 @@
 
 // New creates a VM without opening a port.
 func New(settings Settings, options Options) *Node {
-	now := time.Now()
+	now, boot := time.Now(), ids.BootID(uuid.NewString()[:8])
 	logWriter := newLineWriter(options.LogOutput)
 	n := &Node{
 		settings: settings, options: options,
 		store: options.Store, records: options.Records, engines: options.Engines, headerCodec: options.HeaderCodec, client: options.Client,
-		boot: ids.BootID(uuid.NewString()[:8]), startedAt: now, bootTime: bootTime, bootTimeAtStart: bootTime(),
+		boot: boot, startedAt: now, bootTime: bootTime, bootTimeAtStart: bootTime(),
 		logWriter: logWriter, log: observability.NewLogger(logWriter, options.LogLevel, &observability.Redactor{}),
 		mirror: mirror.New(), directory: directory.New(), declared: newDeclaredVersions(),
 		authority: authority.New(authority.Config{
 			Self: settings.Self(), DataCentre: settings.DataCentre, Cores: settings.Cores, FenceSuffix: uniqueNumber(settings.IP),
 			Lease: settings.Bounds.Lease, FirstClaimDelay: claimDelay, SuspendTime: confirmDelayAfterStall,
-			EnginesCheckFences: settings.Bounds.EnginesCheckFences, Seeds: settings.Seeds,
+			EnginesCheckFences: settings.Bounds.EnginesCheckFences, Boot: boot, Seeds: settings.Seeds,
 		}, now),
 		caps:               caps.New(settings.FirstStart),
 		balancer:           balance.New(balance.DefaultConfig(settings.DataCentre)),
@@ -402,9 +402,9 @@
 }
 
 // recordForeignOrder records that an engine has accepted an order of another VM.
-func (n *Node) recordForeignOrder(e *serving.Endpoint) {
+func (n *Node) recordForeignOrder(now time.Time, e *serving.Endpoint) {
 	n.membersMu.Lock()
-	dropped := n.authority.ForeignOrderSeen(e.DataCentre)
+	dropped := n.authority.ForeignOrderSeen(now, e.DataCentre)
 	n.membersMu.Unlock()
 	n.logInfo("engine accepted an order of another VM", fields{"endpoint": e.ID, "dataCentre": e.DataCentre, "claimDropped": dropped})
 }
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -319,7 +319,7 @@
 	e.callInFlight = false
 	defer func() {
 		if e.table.TakeForeignOrders() {
-			o.node.recordForeignOrder(e.endpoint)
+			o.node.recordForeignOrder(now, e.endpoint)
 		}
 	}()
 	if err != nil {
