Let answers that have begun run to the end of a drain

Only requests without an answer are ended there now. The answers that are cut at the end are logged as such instead of as callers that left, for which the drain waits for their handlers.

--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -77,6 +77,10 @@
 	// lastEventID is the id of the last event sent to the caller.
 	lastEventID     string
 	responseStarted bool
+	// outlastDrainAnswers lets the request go on when a drain answers those that
+	// are open: it is called when the response starts, so that the answer has until
+	// the end of the drain.
+	outlastDrainAnswers func() bool
 	// bodyBytes counts the bytes of the body that were written to the caller.
 	bodyBytes int64
 	// lastSend is the result of the last send that has ended, and engineSilence
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -55,7 +55,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), p.request.Deadline)
 	defer cancel()
-	defer context.AfterFunc(n.requestsCtx, cancel)()
+	p.outlastDrainAnswers = context.AfterFunc(n.requestsCtx, cancel)
+	defer p.outlastDrainAnswers()
 	n.dispatch(ctx, w, r, p)
 }
 
@@ -111,8 +112,7 @@
 			n.logServed(p, result)
 			return
 		case r.Context().Err() != nil:
-			n.logIncomplete(p, "caller left", 0, result.reason)
-			abortConnection()
+			n.endCallerLeft(p, result.reason)
 			return
 		case result.replacement != nil:
 			p.excluded[endpoint.ID] = true
@@ -209,8 +209,7 @@
 // does not promise that it did not run.
 func (n *Node) endNotRun(r *http.Request, w http.ResponseWriter, p *requestState, refused *refusal) {
 	if r.Context().Err() != nil {
-		n.logIncomplete(p, "caller left", 0, refused.reason)
-		abortConnection()
+		n.endCallerLeft(p, refused.reason)
 		return
 	}
 	n.releaseGrant(&p.prefillGrant, false)
@@ -221,11 +220,21 @@
 	n.refuse(w, p, refused)
 }
 
+// endCallerLeft ends a request whose caller's connection is closed: by the caller,
+// or by this VM at the end of its drain. It does not return.
+func (n *Node) endCallerLeft(p *requestState, reason string) {
+	if n.requestsCtx.Err() != nil && p.responseStarted {
+		n.logCut(p, reason)
+	} else {
+		n.logIncomplete(p, "caller left", 0, reason)
+	}
+	abortConnection()
+}
+
 // endMayHaveRun ends a request that may have run and can't be sent again.
 func (n *Node) endMayHaveRun(r *http.Request, w http.ResponseWriter, p *requestState, failed *refusal) {
 	if r.Context().Err() != nil {
-		n.logIncomplete(p, "caller left", 0, failed.reason)
-		abortConnection()
+		n.endCallerLeft(p, failed.reason)
 		return
 	}
 	n.fail(w, p, failed)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -334,6 +334,10 @@
 	// drainAnswerShare is the share of the grace time, before drainReserve, that is
 	// kept for answering the requests that are still open.
 	drainAnswerShare = 0.025
+	// handlerEndTime is how long a drain waits for handlers whose connections it has
+	// closed, with looks at handlerEndInterval.
+	handlerEndTime     = 100 * time.Millisecond
+	handlerEndInterval = 5 * time.Millisecond
 )
 
 // Run serves until ctx ends, then drains.
@@ -373,6 +377,10 @@
 		// No request is open that could be waited for.
 		_ = server.Close()
 	}
+	// The handlers of answers that were cut still have to log that.
+	for until := time.Now().Add(handlerEndTime); n.openRequests.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(handlerEndInterval)
+	}
 	n.logInfo("stop", fields{"open": n.openRequests.Load(), "drainMs": time.Since(began).Milliseconds()})
 	n.stop()
 }
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -281,7 +281,7 @@
 	n.copyHeader(w, answer)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(response.StatusCode)
-	p.responseStarted = true
+	p.startResponse()
 	count, err := w.Write(body)
 	p.bodyBytes += int64(count)
 	if err != nil {
@@ -290,6 +290,12 @@
 	return sendResult{done: true, status: response.StatusCode, bytes: int64(len(body))}
 }
 
+// startResponse records that the response has started.
+func (p *requestState) startResponse() {
+	p.responseStarted = true
+	p.outlastDrainAnswers()
+}
+
 func (n *Node) copyHeader(w http.ResponseWriter, answer Answer) {
 	header := w.Header()
 	for name, values := range answer.Header {
--- a/pkg/node/stream.go
+++ b/pkg/node/stream.go
@@ -79,7 +79,7 @@
 			w.Header().Set("Content-Length", response.Header.Get("Content-Length"))
 		}
 		w.WriteHeader(response.StatusCode)
-		p.responseStarted = true
+		p.startResponse()
 		p.firstByteAt = time.Now()
 	}
 	count, err := w.Write(ready)
