Send nothing to an endpoint that has said that it leaves

Cause: an endpoint that leaves says so in a header of its answers, and no code read it. Only its entry in the store ended the requests to it, so that a VM went on sending while the store could not be read, was behind, or had lost the entry and listed it again.

Package node records what answers and engines' reports say, leaves these endpoints out of every choice, and asks again immediately before each send. State messages carry departures to the other VMs. The owner calls no engine that leaves, and copies the adapters in use that only leaving engines hold. This also holds for engines that are listed as leaving.

Ruled out: ending a departure with the entry or by a listing; a store that comes back from an older copy would bring the endpoint back.

--- a/pkg/coordination/replicas/replicas.go
+++ b/pkg/coordination/replicas/replicas.go
@@ -103,6 +103,31 @@
 	return count * math.Ln2 / d.config.HalfLife.Seconds()
 }
 
+// minMovedUses is the use count from which the only copy of an adapter is worth a
+// load at another engine when its engine leaves: that of a single use one half-life
+// ago.
+const minMovedUses = 0.5
+
+// Moves returns those of the given adapters, which leaving engines hold, that are in
+// use and so should be on one other engine at least, sorted by request rate, highest
+// first.
+func (d *Demand) Moves(now time.Time, held []serving.AdapterKey) []Target {
+	var moves []Target
+	seen := make(map[serving.AdapterKey]bool)
+	for _, key := range held {
+		u := d.useCount[key]
+		if u == nil || seen[key] {
+			continue
+		}
+		seen[key] = true
+		if uses := u.valueAt(now, d.config.HalfLife); uses >= minMovedUses {
+			moves = append(moves, Target{Key: key, Count: 1, Rate: d.rate(uses)})
+		}
+	}
+	sortByRate(moves)
+	return moves
+}
+
 // Targets returns the adapters that should be on more than one of the given
 // number of engines, sorted by request rate, highest first.
 func (d *Demand) Targets(now time.Time, engines int) []Target {
@@ -119,11 +144,16 @@
 			targets = append(targets, Target{Key: key, Count: count, Rate: rate})
 		}
 	}
+	sortByRate(targets)
+	return targets
+}
+
+// sortByRate sorts targets by request rate, highest first.
+func sortByRate(targets []Target) {
 	sort.Slice(targets, func(i, j int) bool {
 		if targets[i].Rate != targets[j].Rate {
 			return targets[i].Rate > targets[j].Rate
 		}
 		return targets[i].Key.String() < targets[j].Key.String()
 	})
-	return targets
 }
--- a/pkg/coordination/residency/table.go
+++ b/pkg/coordination/residency/table.go
@@ -132,7 +132,9 @@
 	// It is 0 if it is not known.
 	Started int64
 	// Busy is set while the engine loads a model.
-	Busy    bool
+	Busy bool
+	// Leaving is set if the engine says that it leaves.
+	Leaving bool
 	Models  []serving.HeldModel
 	Coming  []Coming
 	Running int
--- a/pkg/node/adapter_index.go
+++ b/pkg/node/adapter_index.go
@@ -252,6 +252,23 @@
 	return held, known && !held.Leaving && held.Version >= version
 }
 
+// heldBy returns the adapters at an engine that are not being unloaded.
+func (r *adapterIndex) heldBy(id ids.EndpointID) []serving.AdapterKey {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	view := r.engines[id]
+	if view == nil {
+		return nil
+	}
+	keys := make([]serving.AdapterKey, 0, len(view.held))
+	for key, held := range view.held {
+		if !held.Leaving {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // freeSlots returns the number of free slots of an engine, and whether it is
 // known to hold the base model.
 func (r *adapterIndex) freeSlots(id ids.EndpointID, model string) (int, bool) {
--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -141,8 +141,8 @@
 	now := time.Now()
 	n.limitsMu.Lock()
 	defer n.limitsMu.Unlock()
-	for _, e := range view.ServiceEndpoints(p.request.Service.Name) {
-		if !e.Leaving && !p.excluded[e.ID] && n.limits.DeniedFor(now, e.ID) == 0 {
+	for _, e := range n.staying(view.ServiceEndpoints(p.request.Service.Name)) {
+		if !p.excluded[e.ID] && n.limits.DeniedFor(now, e.ID) == 0 {
 			eligible = append(eligible, e)
 		}
 	}
@@ -236,6 +236,9 @@
 // missing if the engine denied having the adapter. It returns nil if the
 // engines should be examined again.
 func (n *Node) ensureAtEngine(ctx context.Context, p *requestState, e *serving.Endpoint, missing bool, required ids.AdapterVersion, limit time.Time) *refusal {
+	if n.leaving(e) {
+		return nil
+	}
 	key := p.request.AdapterKey()
 	n.membersMu.Lock()
 	p.askedOwner, _ = n.authority.Holder(e.DataCentre)
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -79,6 +79,10 @@
 			}
 			continue
 		}
+		if !n.accepts(endpoint) {
+			n.releaseGrant(&p.prefillGrant, false)
+			continue
+		}
 		result := n.send(ctx, w, p, endpoint)
 		switch {
 		case result.done:
--- a/pkg/node/endpoint_limits.go
+++ b/pkg/node/endpoint_limits.go
@@ -139,8 +139,8 @@
 	shortest := time.Duration(0)
 	n.limitsMu.Lock()
 	defer n.limitsMu.Unlock()
-	for _, e := range n.directory.View().ServiceEndpoints(p.request.Service.Name) {
-		if wait := n.limits.DeniedFor(now, e.ID); wait > 0 && !e.Leaving && (shortest == 0 || wait < shortest) {
+	for _, e := range n.staying(n.directory.View().ServiceEndpoints(p.request.Service.Name)) {
+		if wait := n.limits.DeniedFor(now, e.ID); wait > 0 && (shortest == 0 || wait < shortest) {
 			shortest = wait
 		}
 	}
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -85,8 +85,11 @@
 	Quarantine quarantine.Message `json:"quarantine,omitzero"`
 	// Limits are the limits that endpoints name, those that changed recently or
 	// all of them.
-	Limits      map[ids.EndpointID]endpointlimit.Report `json:"limits,omitempty"`
-	AdapterUses map[string]float64                      `json:"uses,omitempty"`
+	Limits map[ids.EndpointID]endpointlimit.Report `json:"limits,omitempty"`
+	// Departures are the endpoints that have said that they leave, with the starts of
+	// their processes: those learned recently or all.
+	Departures  map[ids.EndpointID]int64 `json:"departures,omitempty"`
+	AdapterUses map[string]float64       `json:"uses,omitempty"`
 	// ActiveAdapters are the adapters with open requests, sent to VMs that send
 	// orders to engines.
 	ActiveAdapters []string                          `json:"active,omitempty"`
@@ -171,6 +174,7 @@
 	n.lastSent.forgetOthers(addresses)
 	n.maintainQuarantine(addresses)
 	n.forgetLimitPeers(addresses)
+	n.pruneDepartures(now, addresses)
 	for _, id := range targets {
 		if n.peerCalls.tryBegin(id) {
 			go func() {
@@ -284,6 +288,7 @@
 	n.membersMu.Unlock()
 	s.Quarantine = n.buildQuarantineMessage(to)
 	s.Limits = n.limitReports(now, to)
+	s.Departures = n.departureReport(now, to)
 	s.AdapterUses = n.adapterIndex.takeUses(to)
 	n.addUsageAndLoads(now, &s, to, scope, leaves)
 	if orders || !s.Relay {
@@ -323,6 +328,7 @@
 	leaf := plan.Relay && !s.Relay
 	n.applyQuarantineMessage(s, leaf)
 	n.applyLimitReports(now, s.ID, restarted, s.Limits)
+	n.applyDepartures(now, s.ID, restarted, s.Departures)
 	n.applyUsageAndLoads(now, s, leaf)
 	n.engineOwner.recordUses(now, s.AdapterUses)
 	if leaf && len(s.AdapterUses) > 0 {
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -121,6 +121,8 @@
 	// Limit is the number of requests a second that the endpoint takes from all
 	// VMs together; nil if it names none.
 	Limit *float64
+	// Leaving is set if the endpoint says that it leaves.
+	Leaving bool
 }
 
 // ReportedLoad is the number of requests and slots that an endpoint reports
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -17,6 +17,7 @@
 
 	storeCalls, reports, orders, peerFailures       tally.Counter
 	engineCrashes, quarantineRefusals, limitDenials tally.Counter
+	departures                                      tally.Counter
 	openRequests, droppedLogLines, quarantinedParts tally.Gauge
 	firstToken, total                               tally.Histogram
 }
@@ -38,6 +39,7 @@
 		engineCrashes:      scope.Counter("engine_crashes"),
 		quarantineRefusals: scope.Counter("quarantine_refusals"),
 		limitDenials:       scope.Counter("endpoint_limit_denials"),
+		departures:         scope.Counter("endpoint_departures"),
 		openRequests:       scope.Gauge("open_requests"),
 		droppedLogLines:    scope.Gauge("log_lines_dropped"),
 		quarantinedParts:   scope.Gauge("quarantined_prompt_parts"),
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -123,6 +123,7 @@
 	// limitsSentAt is when each peer was last sent all limits.
 	limitsSentAt map[ids.VMID]time.Time
 
+	departures         *endpointDepartures
 	adapterIndex       *adapterIndex
 	engineOwner        *engineOwner
 	ensureCalls        singleflight.Group
@@ -180,6 +181,7 @@
 		quarantine:         quarantine.New(quarantine.DefaultConfig()),
 		limits:             endpointlimit.New(endpointlimit.DefaultConfig()),
 		limitsSentAt:       make(map[ids.VMID]time.Time),
+		departures:         newEndpointDepartures(),
 		adapterIndex:       newAdapterIndex(),
 		copies:             &copyThrottle{requests: make(map[serving.AdapterKey]requestCount), interval: copyInterval, minRequests: copyMinRequests},
 		firstByteEstimator: newFirstByteEstimator(),
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -131,7 +131,7 @@
 	active := sync.OnceValue(func() map[serving.AdapterKey]bool { return o.activeKeys(now) })
 	for _, e := range o.engines {
 		e.notifyWaiters(now)
-		if e.callInFlight {
+		if e.callInFlight || o.node.leaving(e.endpoint) {
 			continue
 		}
 		if o.reportDue(now, e) {
@@ -171,21 +171,39 @@
 		if service.Engine == nil {
 			continue
 		}
-		var engines []*serving.Endpoint
-		for _, e := range view.ServiceEndpoints(name) {
-			if !e.Leaving {
-				engines = append(engines, e)
-			}
-		}
+		engines := o.node.staying(view.ServiceEndpoints(name))
 		for _, replica := range o.demand.Targets(now, len(engines)) {
-			o.orderCopies(now, replica, engines)
+			o.orderCopies(now, replica, engines, func(e *engine) bool { return e.table.PendingDemands() == 0 })
+		}
+		if len(engines) < len(view.ServiceEndpoints(name)) {
+			o.copyFromLeaving(now, view.ServiceEndpoints(name), engines)
+		}
+	}
+}
+
+// maxMovesPending is the number of adapters that may wait for their load at an engine
+// that gets copies from leaving ones: as many as it loads at a time.
+const maxMovesPending = 4
+
+// copyFromLeaving orders copies of the adapters in use that are held by engines that
+// leave, at other engines that have room for them.
+func (o *engineOwner) copyFromLeaving(now time.Time, all, staying []*serving.Endpoint) {
+	var held []serving.AdapterKey
+	for _, e := range all {
+		if o.node.leaving(e) {
+			held = append(held, o.node.adapterIndex.heldBy(e.ID)...)
 		}
 	}
+	for _, move := range o.demand.Moves(now, held) {
+		o.orderCopies(now, move, staying, func(e *engine) bool {
+			return e.table.PendingDemands() < maxMovesPending && o.hasRoom(now, e, move.Key.Model)
+		})
+	}
 }
 
 // orderCopies orders the missing copies of one adapter at those of the chosen
-// engines that this VM owns.
-func (o *engineOwner) orderCopies(now time.Time, replica replicas.Target, engines []*serving.Endpoint) {
+// engines that this VM owns and that mayOrder selects.
+func (o *engineOwner) orderCopies(now time.Time, replica replicas.Target, engines []*serving.Endpoint, mayOrder func(*engine) bool) {
 	missing := replica.Count
 	var lacking []*serving.Endpoint
 	for _, e := range engines {
@@ -203,7 +221,7 @@
 	}
 	for _, e := range balance.Rank(replica.Key.String(), lacking)[:min(missing, len(lacking))] {
 		owned := o.engines[e.ID]
-		if owned == nil || owned.table.PendingDemands() > 0 {
+		if owned == nil || !mayOrder(owned) {
 			continue
 		}
 		owned.table.Demand(residency.Demand{Key: replica.Key, Version: o.node.declared.newest(replica.Key), Urgency: copyUrgency, Since: now})
@@ -304,6 +322,13 @@
 		o.node.logWarning("engine report failed", err, fields{"endpoint": e.endpoint.ID})
 		return
 	}
+	if report.Leaving {
+		started := report.Started
+		if started == 0 {
+			started = e.endpoint.Started
+		}
+		o.node.recordLeaving(e.endpoint.ID, started)
+	}
 	known := e.table.Known()
 	e.table.ApplyReport(asked, now, report)
 	if !known && e.table.Known() {
@@ -529,6 +554,10 @@
 	if e == nil {
 		return ensureReply{Status: ensureNotOwner}, 0
 	}
+	if o.node.leaving(e.endpoint) {
+		e.table.DropDemand(request.Key)
+		return ensureReply{Status: ensureBusy, RetryMs: retryAfterBusy.Milliseconds()}, 0
+	}
 	if first && request.Missing {
 		e.table.AdapterMissing(now, request.Key)
 	}
--- a/pkg/node/prefill.go
+++ b/pkg/node/prefill.go
@@ -128,6 +128,11 @@
 		return nil, refused
 	}
 	for ctx.Err() == nil {
+		if !n.accepts(best) {
+			// The caller of this function chooses again.
+			n.leavePrefillQueue(p, best)
+			return best, nil
+		}
 		switch reply := n.askOwner(ctx, p, best, false); reply.Status {
 		case prefillGranted:
 			return best, nil
@@ -140,6 +145,14 @@
 	return nil, refuseDeadline()
 }
 
+// leavePrefillQueue takes a request out of the queue of an engine.
+func (n *Node) leavePrefillQueue(p *requestState, e *serving.Endpoint) {
+	n.membersMu.Lock()
+	engineOwner, _ := n.authority.Holder(e.DataCentre)
+	n.membersMu.Unlock()
+	n.releaseGrant(&prefillGrant{engineOwner: engineOwner, endpoint: e.ID, request: p.request.ID}, false)
+}
+
 // excluding returns the endpoints that are not in excluded.
 func excluding(endpoints []*serving.Endpoint, excluded map[ids.EndpointID]bool) []*serving.Endpoint {
 	var left []*serving.Endpoint
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -178,6 +178,7 @@
 		return sendResult{reason: "the answer belongs to another request"}
 	}
 	n.recordLimit(e, answer)
+	n.recordDeparture(e, answer)
 	if answer.NotRun {
 		return sendResult{
 			shed:          true,
