Leave an endpoint alone for the time that its 503 names

Cause: an endpoint that turns a request away may name the seconds for which it wants nothing from that VM, and no code read it. The VM asked again at once, as often as its budget of repeats allowed, and told callers to return after 0.5 s.

Change: pkg/coordination/holdoff keeps until when each endpoint is left alone, by id and start. Package node leaves it out of every choice and asks again immediately before each send. Callers that have no other place, also for lack of an engine with the base model, are refused at once with the time until one is due. Afterwards requests come back one first, then twice as many with each round of answers; VMs come back apart. The owner's routine reports pause; orders and the reports that they need go on, since other VMs' requests wait for them.

Ruled out: telling other VMs, since the time is named to one VM; ending a hold with a lost entry; a bound of minutes, with which an endpoint that names longer times would get more than two requests within one.

--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -98,7 +98,7 @@
 		view := n.directory.View()
 		endpoints := n.eligible(view, p)
 		if len(endpoints) == 0 {
-			return nil, n.refuseAtLimits(p)
+			return nil, n.refuseUnplaced(p, refuseNoEndpoint())
 		}
 		minVersion := n.declared.minVersion(now, p.request.AdapterKey(), time.Duration(versionGraceShare*float64(n.settings.Bounds.OldVersionGracePeriod)))
 		if p.deniedBy != nil {
@@ -141,7 +141,7 @@
 	now := time.Now()
 	n.limitsMu.Lock()
 	defer n.limitsMu.Unlock()
-	for _, e := range n.staying(view.ServiceEndpoints(p.request.Service.Name)) {
+	for _, e := range n.accepting(now, view.ServiceEndpoints(p.request.Service.Name)) {
 		if !p.excluded[e.ID] && n.limits.DeniedFor(now, e.ID) == 0 {
 			eligible = append(eligible, e)
 		}
@@ -226,6 +226,9 @@
 		return refuseBusy(retryAfterBusy, "no adapter slot in time")
 	}
 	if homeEngine == nil {
+		if refused := n.refuseIfModelHeld(time.Now(), p, limit); refused != nil {
+			return refused
+		}
 		sleep(ctx, placementRetryInterval)
 		return nil
 	}
--- a/pkg/node/departures.go
+++ b/pkg/node/departures.go
@@ -83,7 +83,7 @@
 // waited for its adapter or for its turn.
 func (n *Node) accepts(e *serving.Endpoint) bool {
 	current := n.directory.View().Endpoints[e.ID]
-	return current != nil && !n.leaving(current)
+	return current != nil && !n.leaving(current) && n.heldFor(time.Now(), current) == 0
 }
 
 // departureReport returns the departures to send to a peer.
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -71,18 +71,14 @@
 			n.endNotRun(r, w, p, refused)
 			return
 		}
-		if !n.admitToEndpoint(ctx, endpoint) {
+		if !n.admitToEndpoint(ctx, endpoint) || !n.beginSend(endpoint) {
 			n.releaseGrant(&p.prefillGrant, false)
 			if denied++; denied > maxDenials {
-				n.endNotRun(r, w, p, n.refuseAtLimits(p))
+				n.endNotRun(r, w, p, n.refuseUnplaced(p, refuseNoEndpoint()))
 				return
 			}
 			continue
 		}
-		if !n.accepts(endpoint) {
-			n.releaseGrant(&p.prefillGrant, false)
-			continue
-		}
 		result := n.send(ctx, w, p, endpoint)
 		switch {
 		case result.done:
@@ -126,14 +122,14 @@
 	if len(endpoints) == 0 && len(p.excluded) > 0 {
 		if p.shedByEndpoint {
 			// Each endpoint was asked; another round would only add load.
-			return nil, refuseBusy(retryNoEndpoint, "all endpoints shed the request")
+			return nil, n.refuseUnplaced(p, refuseBusy(retryNoEndpoint, "all endpoints shed the request"))
 		}
 		clear(p.excluded)
 		endpoints = n.eligible(n.directory.View(), p)
 	}
 	e := n.pickLeastLoaded(now, endpoints, p.pickSalt)
 	if e == nil {
-		return nil, n.refuseAtLimits(p)
+		return nil, n.refuseUnplaced(p, refuseNoEndpoint())
 	}
 	return e, nil
 }
--- a/pkg/node/endpoint_limits.go
+++ b/pkg/node/endpoint_limits.go
@@ -16,8 +16,8 @@
 	// coordinatorBackoff is how long one that did not answer is not asked again.
 	grantTimeout       = 150 * time.Millisecond
 	coordinatorBackoff = 500 * time.Millisecond
-	// maxDenials is how often endpoints may be at their limit for one request
-	// before it is refused.
+	// maxDenials is how often endpoints may be at their limit, or take no requests
+	// any more, once they were chosen for a request, before it is refused.
 	maxDenials = 6
 	// allLimitsInterval is the interval between messages to a peer with all
 	// limits. Those in between have the limits that changed within
@@ -132,24 +132,6 @@
 	return grantReply{Granted: granted, WaitMs: wait.Milliseconds()}, nil
 }
 
-// refuseAtLimits refuses a request for which there is no endpoint, with the time
-// until one that is at its limit takes requests again.
-func (n *Node) refuseAtLimits(p *requestState) *refusal {
-	now := time.Now()
-	shortest := time.Duration(0)
-	n.limitsMu.Lock()
-	defer n.limitsMu.Unlock()
-	for _, e := range n.staying(n.directory.View().ServiceEndpoints(p.request.Service.Name)) {
-		if wait := n.limits.DeniedFor(now, e.ID); wait > 0 && (shortest == 0 || wait < shortest) {
-			shortest = wait
-		}
-	}
-	if shortest == 0 {
-		return refuseNoEndpoint()
-	}
-	return refuseBusy(max(shortest, minRetryAtLimits), "endpoints are at the limits that they name")
-}
-
 // limitReports returns the limits to send to a peer.
 func (n *Node) limitReports(now time.Time, to ids.VMID) map[ids.EndpointID]endpointlimit.Report {
 	n.limitsMu.Lock()
--- a/pkg/node/exchange.go
+++ b/pkg/node/exchange.go
@@ -175,6 +175,7 @@
 	n.maintainQuarantine(addresses)
 	n.forgetLimitPeers(addresses)
 	n.pruneDepartures(now, addresses)
+	n.pruneHolds(now)
 	for _, id := range targets {
 		if n.peerCalls.tryBegin(id) {
 			go func() {
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -123,6 +123,9 @@
 	Limit *float64
 	// Leaving is set if the endpoint says that it leaves.
 	Leaving bool
+	// RetryAfter is the time for which an endpoint that turned the request away
+	// wants no other from this VM; 0 if it names none.
+	RetryAfter time.Duration
 }
 
 // ReportedLoad is the number of requests and slots that an endpoint reports
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -17,7 +17,7 @@
 
 	storeCalls, reports, orders, peerFailures       tally.Counter
 	engineCrashes, quarantineRefusals, limitDenials tally.Counter
-	departures                                      tally.Counter
+	departures, holds                               tally.Counter
 	openRequests, droppedLogLines, quarantinedParts tally.Gauge
 	firstToken, total                               tally.Histogram
 }
@@ -40,6 +40,7 @@
 		quarantineRefusals: scope.Counter("quarantine_refusals"),
 		limitDenials:       scope.Counter("endpoint_limit_denials"),
 		departures:         scope.Counter("endpoint_departures"),
+		holds:              scope.Counter("endpoint_holds"),
 		openRequests:       scope.Gauge("open_requests"),
 		droppedLogLines:    scope.Gauge("log_lines_dropped"),
 		quarantinedParts:   scope.Gauge("quarantined_prompt_parts"),
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/endpointlimit"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fleet"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/freshness"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/holdoff"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/quarantine"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/retrybudget"
 	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
@@ -124,6 +125,7 @@
 	limitsSentAt map[ids.VMID]time.Time
 
 	departures         *endpointDepartures
+	holds              endpointHolds
 	adapterIndex       *adapterIndex
 	engineOwner        *engineOwner
 	ensureCalls        singleflight.Group
@@ -182,6 +184,7 @@
 		limits:             endpointlimit.New(endpointlimit.DefaultConfig()),
 		limitsSentAt:       make(map[ids.VMID]time.Time),
 		departures:         newEndpointDepartures(),
+		holds:              endpointHolds{known: holdoff.New(holdoff.DefaultConfig())},
 		adapterIndex:       newAdapterIndex(),
 		copies:             &copyThrottle{requests: make(map[serving.AdapterKey]requestCount), interval: copyInterval, minRequests: copyMinRequests},
 		firstByteEstimator: newFirstByteEstimator(),
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -282,7 +282,7 @@
 	case e.table.Leaving() || e.table.ModelBusy():
 		return age >= changingStateReportInterval
 	}
-	return age >= reportInterval
+	return age >= reportInterval && o.node.heldFor(now, e.endpoint) == 0
 }
 
 // mayLoadModel reports whether this owner's share of the weight store's rate
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -179,6 +179,7 @@
 	}
 	n.recordLimit(e, answer)
 	n.recordDeparture(e, answer)
+	n.recordHold(e, response.StatusCode, answer)
 	if answer.NotRun {
 		return sendResult{
 			shed:          true,
