Copy from leaving engines only what is in use more than what it evicts

Cause: an engine that got the adapters of a leaving one evicted any adapter without open requests for them, also for adapters that were used once.

Change: an adapter is copied once it was used twice within some seconds, into a free slot or one whose adapter was used less than half as often.

TestCopyEvictsOnlyWhatIsUsedLess covers the new rule; tests of the touched packages pass with -race.

--- a/pkg/coordination/replicas/replicas.go
+++ b/pkg/coordination/replicas/replicas.go
@@ -104,9 +104,9 @@
 }
 
 // minMovedUses is the use count from which the only copy of an adapter is worth a
-// load at another engine when its engine leaves: that of a single use one half-life
-// ago.
-const minMovedUses = 0.5
+// load at another engine when its engine leaves: that of two uses within half a
+// half-life. An adapter that was used once is loaded when it is asked for again.
+const minMovedUses = 1.5
 
 // Moves returns those of the given adapters, which leaving engines hold, that are in
 // use and so should be on one other engine at least, sorted by request rate, highest
--- a/pkg/coordination/residency/table.go
+++ b/pkg/coordination/residency/table.go
@@ -393,6 +393,23 @@
 	return slots
 }
 
+// RoomForCopy reports whether the engine can take a copy of an adapter that no request
+// waits for without losing one that is as much in use: a slot is free, or held by an
+// adapter without open requests that was used less than half as often.
+func (t *Table) RoomForCopy(now time.Time, limits Limits, key serving.AdapterKey, activeAdapters func() map[serving.AdapterKey]bool) bool {
+	slots := t.capacity(limits) - len(t.held) - len(t.demands)
+	if slots > 0 {
+		return true
+	}
+	adaptersInUse, uses := activeAdapters(), t.recentUses(now, key)
+	for other, entry := range t.held {
+		if t.evictable(now, other, entry) && !adaptersInUse[other] && t.recentUses(now, other) < uses/2 {
+			slots++
+		}
+	}
+	return slots > 0
+}
+
 // evictable reports whether an adapter may be evicted: it is loaded, not in
 // demand, and was kept for MinResidence.
 func (t *Table) evictable(now time.Time, key serving.AdapterKey, entry *Held) bool {
--- a/pkg/coordination/residency/table_test.go
+++ b/pkg/coordination/residency/table_test.go
@@ -346,3 +346,35 @@
 		})
 	}
 }
+
+// Guards against a copy from a leaving engine that evicts an adapter which is in use as
+// much, or has open requests: that one would have to be loaded again.
+func TestCopyEvictsOnlyWhatIsUsedLess(t *testing.T) {
+	table := newTable()
+	now := startTime
+	held := serving.HeldModel{Name: model}
+	for i := range limits.AdapterSlots - 1 {
+		held.Adapters = append(held.Adapters, ids.AdapterRef{Adapter: key(i).Adapter, Version: 1})
+	}
+	table.ApplyReport(now, now, residency.Report{Models: []serving.HeldModel{held}})
+	room := func(active map[serving.AdapterKey]bool) bool {
+		return table.RoomForCopy(now, limits, key(9), func() map[serving.AdapterKey]bool { return active })
+	}
+	assert.Assert(t, room(nil), "a slot is free")
+	held.Adapters = append(held.Adapters, ids.AdapterRef{Adapter: key(3).Adapter, Version: 1})
+	table.ApplyReport(now, now, residency.Report{Models: []serving.HeldModel{held}})
+	now = now.Add(2 * time.Second)
+	table.Used(now, key(9), 4)
+	for i := range limits.AdapterSlots {
+		table.Used(now, key(i), 3)
+	}
+	assert.Assert(t, !room(nil), "all are in use as much")
+	table.Used(now, key(9), 6)
+	assert.Assert(t, room(nil))
+	assert.Assert(t, !room(map[serving.AdapterKey]bool{key(0): true, key(1): true, key(2): true, key(3): true}), "all have open requests")
+	table.Demand(residency.Demand{Key: key(8), Since: now})
+	table.Demand(residency.Demand{Key: key(7), Since: now})
+	table.Demand(residency.Demand{Key: key(6), Since: now})
+	table.Demand(residency.Demand{Key: key(5), Since: now})
+	assert.Assert(t, !room(nil), "others wait for all slots")
+}
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -194,9 +194,10 @@
 			held = append(held, o.node.adapterIndex.heldBy(e.ID)...)
 		}
 	}
+	active := sync.OnceValue(func() map[serving.AdapterKey]bool { return o.activeKeys(now) })
 	for _, move := range o.demand.Moves(now, held) {
 		o.orderCopies(now, move, staying, func(e *engine) bool {
-			return e.table.PendingDemands() < maxMovesPending && o.hasRoom(now, e, move.Key.Model)
+			return e.table.PendingDemands() < maxMovesPending && e.table.RoomForCopy(now, e.limits, move.Key, active)
 		})
 	}
 }
