--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -101,7 +101,7 @@
 		view := n.directory.View()
 		endpoints := n.eligible(view, p)
 		if len(endpoints) == 0 {
-			return nil, n.refuseAtLimits(p)
+			return nil, n.refuseUnplaced(p, refuseNoEndpoint())
 		}
 		minVersion := n.declared.minVersion(now, p.request.AdapterKey(), time.Duration(versionGraceShare*float64(n.settings.Bounds.OldVersionGracePeriod)))
 		if p.deniedBy != nil {
@@ -144,8 +144,8 @@
 	now := time.Now()
 	n.limitsMu.Lock()
 	defer n.limitsMu.Unlock()
-	for _, e := range view.ServiceEndpoints(p.request.Service.Name) {
-		if !e.Leaving && !p.excluded[e.ID] && n.limits.DeniedFor(now, e.ID) == 0 {
+	for _, e := range n.accepting(now, view.ServiceEndpoints(p.request.Service.Name)) {
+		if !p.excluded[e.ID] && n.limits.DeniedFor(now, e.ID) == 0 {
 			eligible = append(eligible, e)
 		}
 	}
@@ -229,6 +229,9 @@
 		return refuseBusy(retryAfterBusy, "no adapter slot in time")
 	}
 	if homeEngine == nil {
+		if refused := n.refuseIfModelHeld(time.Now(), p, limit); refused != nil {
+			return refused
+		}
 		sleep(ctx, placementRetryInterval)
 		return nil
 	}
@@ -239,6 +242,9 @@
 // missing if the engine denied having the adapter. It returns nil if the
 // engines should be examined again.
 func (n *Node) ensureAtEngine(ctx context.Context, p *requestState, e *serving.Endpoint, missing bool, required ids.AdapterVersion, limit time.Time) *refusal {
+	if n.leaving(e) {
+		return nil
+	}
 	key := p.request.AdapterKey()
 	n.membersMu.Lock()
 	p.askedOwner, _ = n.authority.Holder(e.DataCentre)
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -90,10 +90,10 @@
 				n.endNotRun(r, w, p, refused)
 				return
 			}
-			if !n.admitToEndpoint(ctx, endpoint) {
+			if !n.admitToEndpoint(ctx, endpoint) || !n.beginSend(endpoint) {
 				n.releaseGrant(&p.prefillGrant, false)
 				if denied++; denied > maxDenials {
-					refused = n.refuseAtLimits(p)
+					refused = n.refuseUnplaced(p, refuseNoEndpoint())
 					if !n.awaitNextSearch(ctx, p, refused) {
 						n.endNotRun(r, w, p, refused)
 						return
@@ -166,14 +166,14 @@
 	} else if len(endpoints) == 0 && len(p.excluded) > 0 {
 		if p.shedByEndpoint {
 			// Each endpoint was asked; another round would only add load.
-			return nil, refuseBusy(retryNoEndpoint, "all endpoints shed the request")
+			return nil, n.refuseUnplaced(p, refuseBusy(retryNoEndpoint, "all endpoints shed the request"))
 		}
 		clear(p.excluded)
 		endpoints = n.eligible(n.directory.View(), p)
 	}
 	e := n.pickLeastLoaded(now, endpoints, p.pickSalt)
 	if e == nil {
-		return nil, n.refuseAtLimits(p)
+		return nil, n.refuseUnplaced(p, refuseNoEndpoint())
 	}
 	return e, nil
 }
--- a/pkg/node/handover.go
+++ b/pkg/node/handover.go
@@ -178,8 +178,8 @@
 	if refused == nil {
 		refused = n.checkQuarantine(search)
 	}
-	if refused == nil && !n.admitToEndpoint(ctx, endpoint) {
-		refused = n.refuseAtLimits(search)
+	if refused == nil && (!n.admitToEndpoint(ctx, endpoint) || !n.beginSend(endpoint)) {
+		refused = n.refuseUnplaced(search, refuseNoEndpoint())
 	}
 	return endpoint, refused
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/endpointlimit"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/fleet"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/freshness"
+	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/holdoff"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/quarantine"
 	"github.com/wagtailspoke/wagtailspoke/pkg/coordination/retrybudget"
 	"github.com/wagtailspoke/wagtailspoke/pkg/observability"
@@ -124,6 +125,8 @@
 	// limitsSentAt is when each peer was last sent all limits.
 	limitsSentAt map[ids.VMID]time.Time
 
+	departures         *endpointDepartures
+	holds              endpointHolds
 	adapterIndex       *adapterIndex
 	engineOwner        *engineOwner
 	ensureCalls        singleflight.Group
@@ -190,6 +193,8 @@
 		quarantine:         quarantine.New(quarantine.DefaultConfig()),
 		limits:             endpointlimit.New(endpointlimit.DefaultConfig()),
 		limitsSentAt:       make(map[ids.VMID]time.Time),
+		departures:         newEndpointDepartures(),
+		holds:              endpointHolds{known: holdoff.New(holdoff.DefaultConfig())},
 		adapterIndex:       newAdapterIndex(),
 		copies:             &copyThrottle{requests: make(map[serving.AdapterKey]requestCount), interval: copyInterval, minRequests: copyMinRequests},
 		firstByteEstimator: newFirstByteEstimator(),
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -195,6 +195,8 @@
 		return sendResult{reason: "the answer belongs to another request"}
 	}
 	n.recordLimit(e, answer)
+	n.recordDeparture(e, answer)
+	n.recordHold(e, response.StatusCode, answer)
 	if answer.NotRun {
 		return sendResult{
 			shed:          true,
