--- a/pkg/node/endpoint_holds_test.go
+++ b/pkg/node/endpoint_holds_test.go
@@ -52,7 +52,7 @@
 	e := &serving.Endpoint{ID: "e", Service: "s", Started: 1}
 	n := nodeWithEndpoints(t, e)
 	now := time.Now()
-	owned := &engine{endpoint: e, table: residency.NewTable(residency.DefaultConfig(), n.engineOwner.loadTime)}
+	owned := &engine{endpoint: e, fence: 1, table: residency.NewTable(residency.DefaultConfig(), n.engineOwner.loadTime)}
 	owned.table.ApplyReport(now, now, residency.Report{Models: []serving.HeldModel{{Name: "base"}}})
 	assert.Assert(t, n.engineOwner.reportDue(now, owned))
 	n.recordHold(e, http.StatusServiceUnavailable, Answer{RetryAfter: time.Minute, NotRun: true})
