--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,7 +29,7 @@
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/serving"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/directory"
 	"github.com/wagtailspoke/wagtailspoke/pkg/state/mirror"
-	"github.com/wagtailspoke/wagtailspoke/pkg/transport/callers"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/connections"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/peers"
 )
 
@@ -159,7 +159,7 @@
 	workers sync.WaitGroup
 	servers []*http.Server
 	// callers holds the callers' connections, and callersListener accepts them.
-	callers         *callers.Connections
+	callers         *connections.Set
 	callersListener net.Listener
 	// drainEnd is the end of a drain whose listener is closed; nil before that.
 	drainEnd atomic.Pointer[time.Time]
@@ -198,7 +198,7 @@
 		wakeExchange:       newWakeSignal(),
 		wakeOwner:          newWakeSignal(),
 		wakeStoreReader:    newWakeSignal(),
-		callers:            callers.New(),
+		callers:            connections.New(),
 	}
 	self := fleet.Announcement{ID: settings.Self(), DataCentre: settings.DataCentre, Boot: n.boot, Cores: settings.Cores}
 	n.fleet = fleet.New(fleet.DefaultConfig(), now, self, settings.Seeds)
--- a/pkg/transport/callers/callers.go
+++ b/pkg/transport/connections/connections.go
@@ -1,8 +1,8 @@
-// Package callers tracks the connections of an HTTP server for callers, so that a
+// Package connections tracks the connections of an HTTP server, so that a
 // shutdown answers each request that was read. http.Server.Shutdown doesn't: it
 // drops a request whose head is read after the shutdown began, and it may close a
 // connection whose next request is being read.
-package callers
+package connections
 
 import (
 	"context"
@@ -22,19 +22,19 @@
 	minIdleTime = 60 * time.Millisecond
 )
 
-// Connections holds the open connections of one server.
-type Connections struct {
+// Set holds the open connections of one server.
+type Set struct {
 	mu   sync.Mutex
 	open map[*connection]bool
 }
 
 // New returns an empty set.
-func New() *Connections { return &Connections{open: make(map[*connection]bool)} }
+func New() *Set { return &Set{open: make(map[*connection]bool)} }
 
-// connection is a caller's connection.
+// connection is a client's connection.
 type connection struct {
 	*net.TCPConn
-	set *Connections
+	set *Set
 
 	// mu guards the fields below. Read holds it while it decides whether bytes are
 	// handed to the server, so that no connection is closed with a request that the
@@ -47,13 +47,13 @@
 }
 
 // Listen returns a listener whose connections are tracked.
-func (c *Connections) Listen(listener net.Listener) net.Listener {
+func (c *Set) Listen(listener net.Listener) net.Listener {
 	return trackingListener{listener, c}
 }
 
 type trackingListener struct {
 	net.Listener
-	set *Connections
+	set *Set
 }
 
 // Accept implements net.Listener.
@@ -96,7 +96,7 @@
 }
 
 // ConnState is the hook of the same name of the http.Server.
-func (c *Connections) ConnState(conn net.Conn, state http.ConnState) {
+func (c *Set) ConnState(conn net.Conn, state http.ConnState) {
 	tracked, isTracked := conn.(*connection)
 	if !isTracked || state != http.StateIdle {
 		return
@@ -120,7 +120,7 @@
 
 // Drain closes idle connections until none is open or ctx ends, and returns the
 // number of open ones. The listener must be closed.
-func (c *Connections) Drain(ctx context.Context) int {
+func (c *Set) Drain(ctx context.Context) int {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
