--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -290,7 +290,7 @@
 		return eris.Wrap(err, "listen for callers")
 	}
 	n.callersListener = listener
-	n.serveOn("callers", n.callers.Listen(listener), &http.Server{Handler: n, ConnState: n.callers.ConnState})
+	n.serveOn("callers", n.callers.Listen(listener), &http.Server{Handler: n.callers.Handler(n), ConnState: n.callers.ConnState, ConnContext: n.callers.ConnContext})
 	return nil
 }
 
--- a/pkg/transport/connections/connections.go
+++ b/pkg/transport/connections/connections.go
@@ -106,6 +106,27 @@
 	tracked.idleSince = time.Now()
 }
 
+type connectionKey struct{}
+
+// ConnContext is the hook of the same name of the http.Server.
+func (c *Set) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// Handler returns a handler that marks the connection of each request as not idle.
+// The server reads a pipelined request together with the one before, so that Read
+// does not show when it begins.
+func (c *Set) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if tracked, isTracked := r.Context().Value(connectionKey{}).(*connection); isTracked {
+			tracked.mu.Lock()
+			tracked.idleSince = time.Time{}
+			tracked.mu.Unlock()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // closeIfIdle closes the connection unless a request is being read or answered.
 func (c *connection) closeIfIdle(now time.Time) {
 	c.mu.Lock()
--- a/pkg/transport/connections/connections_test.go
+++ b/pkg/transport/connections/connections_test.go
@@ -86,3 +86,38 @@
 	close(s.release)
 	assert.Equal(t, s.connections.Drain(context.Background()), 0)
 }
+
+// Guards against a pipelined request that is cut in its handler: the server reads it
+// with the one before, and its connection counts as idle.
+func TestDrainAnswersAPipelinedRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	set := connections.New()
+	began := make(chan struct{}, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/second" {
+			began <- struct{}{}
+			time.Sleep(400 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	httpServer := &http.Server{Handler: set.Handler(handler), ConnState: set.ConnState, ConnContext: set.ConnContext}
+	go func() { _ = httpServer.Serve(set.Listen(listener)) }()
+	t.Cleanup(func() { _ = httpServer.Close() })
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	_, err = io.WriteString(connection, "GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	<-began
+	assert.NilError(t, listener.Close())
+	go set.Drain(context.Background())
+	reader := bufio.NewReader(connection)
+	for _, want := range []string{"/first", "/second"} {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err, want)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), want)
+	}
+}
