--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -47,6 +47,9 @@
 	// searchBegan is when the search for the next endpoint began: at the arrival, or
 	// when a stream that has begun broke off.
 	searchBegan time.Time
+	// resumeSearches counts the searches for an endpoint at which a stream that broke
+	// off can go on.
+	resumeSearches int
 	// besideSend is set for a search for another endpoint while a send goes on.
 	// It waits for nothing and has no adapter loaded.
 	besideSend bool
--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -120,8 +120,9 @@
 			n.logResend(p, endpoint, result)
 		case result.shed:
 			shed++
-			// A request that never left this VM doesn't count as a repeat.
-			if shed > maxSheds || !result.unreachable && !n.awaitRetryBudget(ctx, p) {
+			// A request that never left this VM doesn't count as a repeat. How often a
+			// stream that broke off is shed is limited by its caller's patience.
+			if shed > maxSheds && !p.responseStarted || !result.unreachable && !n.awaitRetryBudget(ctx, p) {
 				n.endNotRun(r, w, p, refuseBusy(retryNoEndpoint, "endpoints shed the request: "+result.reason))
 				return
 			}
@@ -192,7 +193,7 @@
 		return
 	}
 	held, found := n.adapterIndex.find(endpoint.ID, key, 0)
-	if p.request.Adapter != "" && found && time.Since(held.Ready) < recentLoadAge {
+	if p.request.Adapter != "" && found && time.Since(held.Ready) < recentLoadAge && !p.responseStarted {
 		sleep(ctx, shedRetryDelay)
 		return
 	}
--- a/pkg/node/handover.go
+++ b/pkg/node/handover.go
@@ -16,9 +16,12 @@
 // one is silent.
 const handoverInterval = 150 * time.Millisecond
 
-// resumeInterval is the pause between two searches for an endpoint at which a
-// stream that broke off can go on.
-const resumeInterval = 100 * time.Millisecond
+// The pauses between two searches for an endpoint at which a stream that broke off
+// can go on grow by resumeInterval up to maxResumeInterval.
+const (
+	resumeInterval    = 100 * time.Millisecond
+	maxResumeInterval = 400 * time.Millisecond
+)
 
 // silenceWatch looks for another endpoint while the endpoint of a send is silent.
 // The send goes on meanwhile. It is cancelled only when the other endpoint may get
@@ -199,11 +202,12 @@
 		return false
 	}
 	route := p.request.Route
-	next := time.Now().Add(max(refused.retryAfter, 0))
-	if next.After(handover.ResumeBy(p.lastChunkAt, route.Objective, route.PauseObjective)) {
+	p.resumeSearches++
+	pause := min(time.Duration(p.resumeSearches)*resumeInterval, maxResumeInterval)
+	if time.Now().Add(pause).After(handover.ResumeBy(p.lastChunkAt, route.Objective, route.PauseObjective)) {
 		return false
 	}
-	sleep(ctx, resumeInterval)
+	sleep(ctx, pause)
 	clear(p.excluded)
 	clear(p.fullEngines)
 	p.shedByEndpoint, p.searchBegan = false, time.Now()
