node: an endpoint's silence counts at once, not when its requests end

Cause: the balancer learned of the failure only with the end of the send. The first search without a result records the silence, once for each send; an answer that comes later clears it.

--- a/pkg/coordination/balance/balance.go
+++ b/pkg/coordination/balance/balance.go
@@ -481,17 +481,29 @@
 		s.consecutiveFailures, s.ejection, s.ejectedUntil = 0, 0, time.Time{}
 		s.failureRate *= failureRateDecay
 	case Failed:
-		s.recordOutcomes(now, b.config.SharedHalfLife, Outcomes{Failed: 1})
-		s.consecutiveFailures++
-		s.failureRate = s.failureRate*failureRateDecay + 1 - failureRateDecay
-		if s.consecutiveFailures >= b.config.FailureStreak || s.failureRate > maxFailureRate {
-			b.eject(now, s)
-			return true
-		}
+		return b.recordFailure(now, s)
 	}
 	return false
 }
 
+// RecordSilence counts the silence of an endpoint as a failure while the request that
+// shows it goes on. It reports whether the endpoint was found to be failing. A request
+// that is served later clears it.
+func (b *Balancer) RecordSilence(now time.Time, id ids.EndpointID) (ejected bool) {
+	return b.recordFailure(now, b.endpointState(id))
+}
+
+func (b *Balancer) recordFailure(now time.Time, s *endpointState) (ejected bool) {
+	s.recordOutcomes(now, b.config.SharedHalfLife, Outcomes{Failed: 1})
+	s.consecutiveFailures++
+	s.failureRate = s.failureRate*failureRateDecay + 1 - failureRateDecay
+	if s.consecutiveFailures < b.config.FailureStreak && s.failureRate <= maxFailureRate {
+		return false
+	}
+	b.eject(now, s)
+	return true
+}
+
 // An endpoint that fails about a third of its requests is ejected even if the
 // failures are not in a row. failureRateDecay is the weight of the past in the
 // moving average.
--- a/pkg/coordination/balance/balance_test.go
+++ b/pkg/coordination/balance/balance_test.go
@@ -21,6 +21,22 @@
 	return list
 }
 
+// Load: two requests at an engine that is silent. Guards against an engine that counts
+// as sound until the requests that wait there have ended, and against one that stays
+// ejected although it has answered since.
+func TestSilentEndpointIsEjectedWhileRequestsWait(t *testing.T) {
+	b := balance.New(balance.DefaultConfig("dc"))
+	for range 2 {
+		b.Begin(startTime, "a")
+	}
+	assert.Assert(t, !b.RecordSilence(startTime, "a"))
+	assert.Assert(t, b.RecordSilence(startTime, "a"))
+	assert.Assert(t, !b.Available(startTime, "a"))
+	assert.Equal(t, b.TotalLoad(startTime, "a").Starting, 2)
+	b.End(startTime, "a", false, balance.Served)
+	assert.Assert(t, b.Available(startTime, "a"))
+}
+
 // Guards against all VMs sending to the same endpoint because each counts only
 // its own requests.
 func TestPickCountsLoadOfPeers(t *testing.T) {
--- a/pkg/node/handover.go
+++ b/pkg/node/handover.go
@@ -42,7 +42,9 @@
 	// stopSearch ends the search that is running; nil if there is none.
 	stopSearch  context.CancelFunc
 	replacement *replacement
-	logged      bool
+	// recorded is set once the silence was recorded, since no other endpoint was sure
+	// when it was noticed.
+	recorded bool
 }
 
 // replacement is the endpoint at which a request goes on, with the state of the
@@ -89,8 +91,9 @@
 }
 
 // stop ends the watch with its send. It returns the endpoint at which the request
-// goes on, or nil, and reports whether the endpoint of the send was silent.
-func (s *silenceWatch) stop() (found *replacement, silent bool) {
+// goes on, or nil, and reports whether the endpoint of the send was silent at the end
+// and whether its silence was recorded.
+func (s *silenceWatch) stop() (found *replacement, silent, recorded bool) {
 	s.mu.Lock()
 	wait, watched := s.watch.UntilSearch(time.Now())
 	s.watch.End()
@@ -102,7 +105,7 @@
 	}
 	s.mu.Unlock()
 	s.searches.Wait()
-	return s.replacement, s.replacement != nil || watched && wait == 0
+	return s.replacement, s.replacement != nil || watched && wait == 0, s.recorded
 }
 
 // search looks for another endpoint once the endpoint has been silent for the
@@ -146,8 +149,9 @@
 		return
 	}
 	s.node.releaseGrant(&search.prefillGrant, false)
-	if refused != nil && !s.logged && ctx.Err() == nil {
-		s.logged = true
+	if refused != nil && !s.recorded && ctx.Err() == nil {
+		s.recorded = true
+		s.node.recordSilence(s.endpoint)
 		s.node.logInfo("endpoint silent, no other can go on", fields{"request": s.request.request.ID, "endpoint": s.endpoint, "reason": refused.reason})
 	}
 	if _, watched := s.watch.UntilSearch(time.Now()); watched {
@@ -155,6 +159,14 @@
 	}
 }
 
+// recordSilence counts an endpoint's silence as a failure at once: requests that could
+// go elsewhere, or load their adapter there, would otherwise join those that wait.
+func (n *Node) recordSilence(id ids.EndpointID) {
+	n.balanceMu.Lock()
+	defer n.balanceMu.Unlock()
+	n.balancer.RecordSilence(time.Now(), id)
+}
+
 // newSearch returns the state of a search for an endpoint that continues the
 // request in place of a silent one. It shares nothing with p that changes.
 func (p *requestState) newSearch(silent ids.EndpointID) *requestState {
--- a/pkg/node/send.go
+++ b/pkg/node/send.go
@@ -99,7 +99,7 @@
 	}()
 	result := n.roundTrip(sendCtx, w, p, e, left, silence, tracker)
 	ended = true
-	replacement, silent := silence.stop()
+	replacement, silent, recorded := silence.stop()
 	if result.shed {
 		p.possibleRuns--
 	}
@@ -113,7 +113,11 @@
 	result.shutdown = !result.done && n.requestsCtx.Err() != nil
 	result.timeOver = !result.done && !time.Now().Before(p.request.Deadline)
 	p.lastSend, p.engineSilence = result, time.Since(tracker.lastBytes)
-	tracker.recordEnd(balancerOutcome(result, ctx.Err() != nil && !silent), result.reason)
+	outcome := balancerOutcome(result, ctx.Err() != nil && !silent)
+	if recorded && outcome == balance.Failed {
+		outcome = balance.Abandoned
+	}
+	tracker.recordEnd(outcome, result.reason)
 	if result.connectionLost && !tracker.answerBegan && sendCtx.Err() == nil {
 		result.engineEnded = n.examineBrokenSend(p, e, now, result.reason)
 	}
