node: a search for a grant that was given up denies nothing

A search beside a silent send that ends, since the endpoint went on, made the VM avoid the other endpoint for 50 ms, as if its limit had been reached. It existed for callers that left. By reading, found by the review; no test shows it.

--- a/pkg/node/endpoint_limits.go
+++ b/pkg/node/endpoint_limits.go
@@ -77,6 +77,10 @@
 	if granted {
 		return true
 	}
+	if ctx.Err() != nil {
+		// Nobody waits for the grant any more, so that nothing was denied.
+		return false
+	}
 	n.metrics.limitDenials.Inc(1)
 	n.limitsMu.Lock()
 	n.limits.RecordDenial(time.Now(), e.ID, wait)
