node: a search beside a silent send requests no copy of an adapter

The searches of one silent stream, 150 ms apart, counted as repeated demand and had the adapter loaded once more. Two comments say what the code does.

--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -113,7 +113,9 @@
 		}
 		holders, soon := n.holders(now, endpoints, p.request.AdapterKey(), minVersion)
 		if len(holders) > 0 {
-			n.requestCopyIfUneven(now, p, n.pickLeastLoaded(now, holders, p.pickSalt), endpoints)
+			if !p.besideSend {
+				n.requestCopyIfUneven(now, p, n.pickLeastLoaded(now, holders, p.pickSalt), endpoints)
+			}
 			return n.waitForPrefill(ctx, p, holders)
 		}
 		if !now.Before(limit) {
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -51,7 +51,7 @@
 	// off can go on.
 	resumeSearches int
 	// besideSend is set for a search for another endpoint while a send goes on.
-	// It waits for nothing and has no adapter loaded.
+	// It waits for nothing and starts no load of an adapter.
 	besideSend bool
 	// deniedBy is the engine that last denied having the adapter; nil once its
 	// owner was asked about it.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -380,7 +380,7 @@
 		n.logInfo("drain incomplete", fields{"connections": open, "open": n.openRequests.Load()})
 	}
 	for _, server := range n.servers {
-		// No request is open that could be waited for.
+		// Requests that are still open have used up the grace time.
 		_ = server.Close()
 	}
 	// The handlers of answers that were cut still have to log that.
