--- a/pkg/state/mirror/eras.go
+++ b/pkg/state/mirror/eras.go
@@ -282,6 +282,10 @@
 // and reports whether it did. The caller holds m.mu and updates the hash.
 func (m *Mirror) retain(now time.Time, r Retained) bool {
 	r.Item.Retained = false
+	if r.changedAt.IsZero() {
+		// A peer's record: the change was at the latest now.
+		r.changedAt = now
+	}
 	if r.Deleted && r.Rank.Lasting {
 		return false
 	}
--- a/pkg/state/mirror/eras_test.go
+++ b/pkg/state/mirror/eras_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -76,9 +77,18 @@
 
 func (r *replica) merge(now time.Time, delta mirror.Delta) { r.apply(r.Merge(now, delta)) }
 
-// catchUp applies what another replica has and this one lacks.
+// catchUp applies what another replica has and this one lacks, as it arrives in a
+// message.
 func (r *replica) catchUp(now time.Time, from *replica) {
-	r.merge(now, from.ChangesSince(now, r.Position()))
+	body, err := json.Marshal(from.ChangesSince(now, r.Position()))
+	if err != nil {
+		panic(err)
+	}
+	var delta mirror.Delta
+	if err := json.Unmarshal(body, &delta); err != nil {
+		panic(err)
+	}
+	r.merge(now, delta)
 }
 
 // exchange lets a replica catch up with another one only if a VM would after a
@@ -355,6 +365,25 @@
 	assert.Equal(t, len(joined.records), 0)
 }
 
+// Guards against a removal that a VM learned from a peer in one era and has forgotten
+// in the next one.
+func TestRemovalOfAPeerOutlastsTheNextReturn(t *testing.T) {
+	s, knows, started := newStore(), newReplica(), newReplica()
+	s.put("gone", endpoint(1, inUse))
+	older := s.copy()
+	s.read(eraStart, knows)
+	s.remove("gone")
+	s.read(eraStart, knows)
+	s.restore(older)
+	s.read(eraStart, knows)
+	s.read(eraStart, started)
+	started.exchange(eraStart, knows)
+	assert.Equal(t, len(started.records), 0)
+	s.restore(older)
+	s.read(eraStart, started)
+	assert.Equal(t, len(started.records), 0)
+}
+
 // Guards against removals that are kept, and sent to peers, for the life of the
 // process.
 func TestOldRemovalsAreNotKept(t *testing.T) {
