Review: a lost answer repeats a request that may run once (case 1)

Claim: a request of a route of the kind unsafe that has no body runs twice when its answer is lost on a kept connection: net/http repeats GET, and POST with an Idempotency-Key, by itself.

--- /dev/null
+++ b/review/harness/main.go
@@ -0,0 +1,69 @@
+// Command harness plays the cases of the review that are scripts. Each case starts the
+// daemons as processes, with a store, workers and clients as stand-ins, and checks one
+// rule. The exit code is 0 if the rule held, 1 if it was broken and 2 if the case could
+// not run.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Exit codes.
+const (
+	ruleHeld   = 0
+	ruleBroken = 1
+	notRun     = 2
+)
+
+// cases maps the names of the cases to functions that report whether the rule was
+// broken.
+var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
+	"lost-answer":  lostAnswer,
+}
+
+func main() { os.Exit(play()) }
+
+func play() int {
+	name := flag.String("case", "", "name of the case")
+	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	flag.Parse()
+	run := cases[*name]
+	if run == nil {
+		fmt.Fprintln(os.Stderr, "unknown case", *name)
+		return notRun
+	}
+	r, err := newRecord(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notRun
+	}
+	defer r.close()
+	d, err := newDeployment(r)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notRun
+	}
+	defer d.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		d.close()
+		os.Exit(notRun)
+	}()
+	broken, err := run(d, os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil:
+		r.report("the case could not run: %v", err)
+		return notRun
+	case broken:
+		r.report("the rule was broken")
+		return ruleBroken
+	}
+	r.report("the rule held")
+	return ruleHeld
+}
