Review: a late second rejection is taken for the next answer (case 2)

Claim: a stream that may run once runs twice when an engine's rejection comes a second time, late. The node sends the request to the same engine again on the same connection, where the copy has the request's own id.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,7 +22,8 @@
 // cases maps the names of the cases to functions that report whether the rule was
 // broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"lost-answer":  lostAnswer,
+	"lost-answer": lostAnswer,
+	"late-answer": lateAnswer,
 }
 
 func main() { os.Exit(play()) }
