Review: workers that left stay in use after entries lapse and return (case 3)

Claim: machines that see a different number of changes of one entry take different changes for such without effect, and skip changes that they lack. The machine that reads the store then misses a worker, so that its later removal reaches nobody, and the others keep sending requests to it.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,8 +22,9 @@
 // cases maps the names of the cases to functions that report whether the rule was
 // broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"lost-answer": lostAnswer,
-	"late-answer": lateAnswer,
+	"lost-answer":    lostAnswer,
+	"late-answer":    lateAnswer,
+	"stale-endpoint": staleEndpoint,
 }
 
 func main() { os.Exit(play()) }
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -221,6 +221,19 @@
 	return err == nil
 }
 
+// exit ends the worker: its address refuses connections, and open ones are reset.
+func (w *worker) exit() {
+	_ = w.listener.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for conn := range w.open {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
 // entry returns the worker's entry in the store.
 func (w *worker) entry(state string) (string, map[string]any) {
 	w.mu.Lock()
