--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"lost-answer":    lostAnswer,
 	"late-answer":    lateAnswer,
+	"large-bodies":   largeBodies,
 	"stale-endpoint": staleEndpoint,
 }
 
