Review: a key is accepted again after the store's return (case 4)

Claim: the store acknowledges that a key is taken away, goes away before a VM has read that, and comes back from a copy. One second later reads count as proof again, and requests with the key run until the operator has written again, later than the bound after the acknowledgement.

Evidence: review/4/run.sh, three VMs, a store that is away for 4 s and comes back from a copy of 7 s before; the operator writes again 2 s later.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,10 +22,11 @@
 // cases maps the names of the cases to functions that report whether the rule was
 // broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"lost-answer":    lostAnswer,
-	"late-answer":    lateAnswer,
-	"large-bodies":   largeBodies,
-	"stale-endpoint": staleEndpoint,
+	"lost-answer":     lostAnswer,
+	"late-answer":     lateAnswer,
+	"large-bodies":    largeBodies,
+	"stale-endpoint":  staleEndpoint,
+	"lost-revocation": lostRevocation,
 }
 
 func main() { os.Exit(play()) }
