Review: cases inside their limits, and ended with the harness

Change: ten machines in case 3, ten workers in case 4, a second class in case 5; daemons end with the harness, and a case after 115 s.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -221,6 +221,8 @@
 	process := exec.Command(daemonProgram, daemonArgument)
 	process.Env = append(os.Environ(), settingsEnv+"="+v.settingsFile)
 	process.Stdout, process.Stderr = log, log
+	// The daemons end with the harness, also if that crashes or is killed.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
 		return err
 	}
--- a/review/harness/large_bodies.go
+++ b/review/harness/large_bodies.go
@@ -14,7 +14,7 @@
 )
 
 // largeBodies sends requests whose bodies are as long as the configuration allows, and
-// more of them for a while. It watches the memory of each process and kills one that
+// more of this class for a while, beside a steady class of small requests. It watches the memory of each process and kills one that
 // exceeds the machine's, as the platform does.
 func largeBodies(d *deployment, trouble bool) (broken bool, err error) {
 	const (
@@ -22,14 +22,17 @@
 		work      = 4 * time.Second
 		timeout   = 12 * time.Second
 		// perSecond is the usual number of requests a second at each VM. The burst
-		// multiplies it: the largest dose of isbreen-tur is x = 2.4 for 4.5 s.
+		// multiplies it: the largest dose of isbreen-tur for a class is x = 2.4 for 4.5 s.
 		perSecond   = 8
 		burstFactor = 2.4
 		burstFor    = 4500 * time.Millisecond
 		burstFrom   = 12 * time.Second
 		length      = 25 * time.Second
+		checkPace   = 20 * time.Millisecond
+		checkWork   = 15 * time.Millisecond
 	)
 	d.addRoute(route{name: "upload", prefix: "/upload/", kind: "unsafe", service: "booking", timeout: timeout, objective: 6 * time.Second, attempts: 1})
+	d.addRoute(route{name: "check", prefix: "/check/", kind: "safe", service: "booking", timeout: 1500 * time.Millisecond, objective: 100 * time.Millisecond, attempts: 2})
 	d.addPlainService("booking")
 	for i := range 4 {
 		w, err := newWorker(d, fmt.Sprintf("booking-%d", i+1), "booking", "zone-a")
@@ -37,7 +40,11 @@
 			return false, err
 		}
 		w.run = func(c *workerConn, r *http.Request) bool {
-			time.Sleep(work)
+			if strings.HasPrefix(r.URL.Path, "/check/") {
+				time.Sleep(checkWork)
+			} else {
+				time.Sleep(work)
+			}
 			return w.answerPlain(c, r)
 		}
 		w.serve()
@@ -47,12 +54,25 @@
 	if err := d.startVMs(2); err != nil {
 		return false, err
 	}
-	ctx := make(chan struct{})
+	ended := make(chan struct{})
 	var watchers, senders sync.WaitGroup
 	peaks, kills := make([]atomic.Int64, len(d.vms)), make([]atomic.Int64, len(d.vms))
 	for i, v := range d.vms {
-		watchers.Go(func() { watchMemory(d, v, ctx, &peaks[i], &kills[i]) })
+		watchers.Go(func() { watchMemory(d, v, ended, &peaks[i], &kills[i]) })
 	}
+	watchers.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(checkPace):
+			}
+			v, id := d.vms[i%len(d.vms)], fmt.Sprintf("c%07d", i)
+			watchers.Go(func() {
+				d.send(request{vm: v, method: http.MethodGet, path: "/check/" + id, id: id, key: clientKey, deadline: 1500 * time.Millisecond})
+			})
+		}
+	})
 	body := bytes.Repeat([]byte("0123456789abcdef"), bodyBytes/16)
 	var statuses sync.Map
 	began, sent := time.Now(), 0
@@ -71,7 +91,7 @@
 		time.Sleep(time.Duration(float64(time.Second) / rate))
 	}
 	senders.Wait()
-	close(ctx)
+	close(ended)
 	watchers.Wait()
 	counts := make(map[int]int64)
 	statuses.Range(func(status, count any) bool {
--- a/review/harness/lost_revocation.go
+++ b/review/harness/lost_revocation.go
@@ -23,13 +23,14 @@
 		// from its return, as for the entries of workers.
 		againAfter = 2 * time.Second
 		watchAfter = 10 * time.Second
-		// entryInterval is how often a worker's entry changes.
-		entryInterval = 120 * time.Millisecond
+		// The entry of each worker changes with every liveness report.
+		workerCount   = 10
+		entryInterval = 1200 * time.Millisecond / workerCount
 	)
 	d.addRoute(route{name: "check", prefix: "/check/", kind: "safe", service: "booking", timeout: 1500 * time.Millisecond, objective: 100 * time.Millisecond, attempts: 2})
 	d.addPlainService("booking")
 	var workers []*worker
-	for i := range 2 {
+	for i := range workerCount {
 		w, err := newWorker(d, fmt.Sprintf("booking-%d", i+1), "booking", "zone-a")
 		if err != nil {
 			return false, err
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // Exit codes.
@@ -19,6 +20,9 @@
 	notRun     = 2
 )
 
+// timeLimit ends a case that takes too long, with all processes that it started.
+const timeLimit = 115 * time.Second
+
 // cases maps the names of the cases to functions that report whether the rule was
 // broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
@@ -55,7 +59,11 @@
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	go func() {
-		<-interrupted
+		select {
+		case <-interrupted:
+		case <-time.After(timeLimit):
+			fmt.Fprintln(os.Stderr, "the case took too long")
+		}
 		d.close()
 		os.Exit(notRun)
 	}()
--- a/review/harness/stale_endpoint.go
+++ b/review/harness/stale_endpoint.go
@@ -18,7 +18,7 @@
 // removed, and for those that are lost with it.
 func staleEndpoint(d *deployment, trouble bool) (broken bool, err error) {
 	const (
-		vmCount     = 6
+		vmCount     = 10
 		workerCount = 12
 		// rounds is how often two workers lapse and leave.
 		rounds    = 3
