Show two holders that take turns when the seeds are lost

Claim: after a loss of power of all machines from which the machines named as seeds do not come back, two VMs of a zone never find each other and take turns as holders at each engine (ONE).

--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -142,9 +142,10 @@
 	return ports, nil
 }
 
-// addVMs prepares entry daemons, in turn in the zones, with the first three as seeds.
-func (d *deployment) addVMs(count int) error {
-	for i := range count {
+// addVMs prepares an entry daemon in each of the given zones. The first three are the
+// seeds.
+func (d *deployment) addVMs(in ...string) error {
+	for i, zone := range in {
 		ip := fmt.Sprintf("127.%d.%d.%d", 40+i, os.Getpid()%250, 10+i)
 		ports, err := freePorts(ip, 4)
 		if err != nil {
@@ -153,7 +154,7 @@
 		address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 		name := fmt.Sprintf("front-%d", i)
 		d.vms = append(d.vms, &vm{
-			name: name, zone: zones[i%len(zones)], ip: ip, front: address(ports[0]), ready: address(ports[1]), control: address(ports[2]), metricsPort: ports[3],
+			name: name, zone: zone, ip: ip, front: address(ports[0]), ready: address(ports[1]), control: address(ports[2]), metricsPort: ports[3],
 			settingsFile: filepath.Join(d.dir, name+".yaml"), logFile: filepath.Join(d.dir, name+".log"),
 		})
 	}
@@ -184,14 +185,20 @@
 platform: {address: %q, form: "read", writes-per-s: 400, reads-per-s: 2000, history-s: 20, value-bytes: 1048576, ttl-minimum-ms: 1000}
 `
 
-// startVM starts an entry daemon with the command of the deploy file.
-func (d *deployment) startVM(v *vm, firstStart bool) error {
+// writeSettings writes the settings file of an entry daemon. seeds are the first three of
+// the given machines.
+func (d *deployment) writeSettings(v *vm, firstStart bool, named []*vm) error {
 	var seeds []string
-	for _, seed := range d.vms[:min(3, len(d.vms))] {
+	for _, seed := range named[:min(3, len(named))] {
 		seeds = append(seeds, fmt.Sprintf("%q", seed.control))
 	}
 	body := fmt.Sprintf(settingsTemplate, v.name, v.ip, v.zone, v.front, v.ready, v.control, v.metricsPort, v.metricsPort, strings.Join(seeds, ", "), firstStart, d.store.Address())
-	if err := os.WriteFile(v.settingsFile, []byte(body), 0o600); err != nil {
+	return os.WriteFile(v.settingsFile, []byte(body), 0o600)
+}
+
+// startVM starts an entry daemon with the command of the deploy file.
+func (d *deployment) startVM(v *vm, firstStart bool) error {
+	if err := d.writeSettings(v, firstStart, d.vms); err != nil {
 		return err
 	}
 	p, err := startProcess(v.logFile, []string{"WAGTAILSPOKE_NODE_FILE=" + v.settingsFile}, daemonPath, "platform")
@@ -203,8 +210,8 @@
 	return nil
 }
 
-func (d *deployment) startVMs(count int) error {
-	if err := d.addVMs(count); err != nil {
+func (d *deployment) startVMs(in ...string) error {
+	if err := d.addVMs(in...); err != nil {
 		return err
 	}
 	for _, v := range d.vms {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -20,6 +20,9 @@
 // cases maps the name of a case to its run. A case returns whether the rule held.
 var cases = map[string]func(*deployment) (bool, error){
 	"reset-answer": runResetAnswer,
+	"lost-seeds":   runLostSeeds,
+	"many-headers": runManyHeaders,
+	"long-names":   runLongNames,
 }
 
 func main() {
--- a/review/harness2/reset_answer.go
+++ b/review/harness2/reset_answer.go
@@ -79,7 +79,7 @@
 			return false, err
 		}
 	}
-	if err := d.startVMs(1); err != nil {
+	if err := d.startVMs(zones[0]); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
