Show that heads of many headers bring processes beyond their memory

Claim: untrusted clients that keep all published limits bring processes of VMs beyond memory-mb with heads of many short headers (Fault).

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(*deployment) (bool, error){
 	"reset-answer": runResetAnswer,
 	"lost-seeds":   runLostSeeds,
+	"many-headers": runManyHeaders,
 	"long-names":   runLongNames,
 }
 
