Show a ready machine that answers no new connection

Claim: beside clients that send bodies slowly, within all published limits, a machine that says it is ready answers no new connection for longer than stable-window-ms while ten ordinary clients try (RECOVER). The configuration of all cases has a second tenant now.

--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -17,11 +17,13 @@
 )
 
 const (
-	caseHost     = "booking.example"
-	caseKey      = "case-key"
-	caseTenant   = "hotel"
-	daemonPath   = "target/wagtailspoked"
-	readyTimeout = 20 * time.Second
+	caseHost        = "booking.example"
+	caseKey         = "case-key"
+	caseTenant      = "hotel"
+	untrustedTenant = "agency"
+	untrustedKey    = "agency-key"
+	daemonPath      = "target/wagtailspoked"
+	readyTimeout    = 20 * time.Second
 )
 
 // zones are those of the site sites/isbreen-tur.toml.
@@ -255,6 +257,10 @@
 	d.store.Put("op/config", map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"header-bytes": 16384, "body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": caseTenant, "keys": keys, "unit": "token_count", "plain-tokens": 200, "rate-per-s": 1000000, "burst": 1000000}},
+		"tenants": []any{tenant(caseTenant, keys), tenant(untrustedTenant, []string{untrustedKey})},
 	})
 }
+
+func tenant(name string, keys []string) map[string]any {
+	return map[string]any{"name": name, "keys": keys, "unit": "token_count", "plain-tokens": 200, "rate-per-s": 1000000, "burst": 1000000}
+}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -22,6 +22,7 @@
 	"reset-answer": runResetAnswer,
 	"lost-seeds":   runLostSeeds,
 	"many-headers": runManyHeaders,
+	"crowd":        runCrowd,
 	"long-names":   runLongNames,
 }
 
