--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -28,11 +28,9 @@
 
 func main() {
 	if len(os.Args) == 3 && os.Args[1] == "worker" {
-		if err := runWorker(os.Args[2]); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(exitNotRun)
-		}
-		return
+		// A worker ends only with an error, or when it is killed.
+		fmt.Fprintln(os.Stderr, runWorker(os.Args[2]))
+		os.Exit(exitNotRun)
 	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: harness2 CASE RECORD")
