--- a/review/harness2/reset_answer.go
+++ b/review/harness2/reset_answer.go
@@ -22,7 +22,12 @@
 	resetBodyBytes  = 4_000_000
 	resetEarlyPause = 900 * time.Millisecond
 	resetKillAfter  = 500 * time.Millisecond
-	resetDownFor    = 2 * time.Second
+	// resetDownFor is the time from a crash to the start of the next incarnation, below the
+	// 2 s of the site file.
+	resetDownFor = 1800 * time.Millisecond
+	// entryLapse is the time after which the store removes the entry of a silent worker:
+	// three intervals of its liveness reports.
+	entryLapse = 3600 * time.Millisecond
 )
 
 // pageWorker is a worker process with the record that it keeps in the store.
@@ -92,10 +97,13 @@
 		}
 		time.Sleep(resetKillAfter)
 		victim := round % len(workers)
+		var killed time.Time
 		if d.trouble {
-			d.record.printf("round %d: worker %s is killed", round, workers[victim].config.ID)
+			id := workers[victim].config.ID
+			d.record.printf("round %d: worker %s is killed", round, id)
+			killed = time.Now()
 			workers[victim].process.kill()
-			d.store.Delete("servers/" + workers[victim].config.ID)
+			time.AfterFunc(entryLapse, func() { d.store.Delete("servers/" + id) })
 		}
 		uploads.Wait()
 		for _, a := range answers {
@@ -113,14 +121,16 @@
 		if !d.trouble {
 			continue
 		}
-		time.Sleep(resetDownFor)
+		time.Sleep(time.Until(killed.Add(resetDownFor)))
 		config := workers[victim].config
 		config.ID = fmt.Sprintf("w-%d-%d", victim, round+1)
 		var err error
 		if workers[victim], err = d.startWorker(config); err != nil {
 			return false, err
 		}
-		time.Sleep(500 * time.Millisecond)
+		d.record.printf("worker %s is there %.2f s after the crash", workers[victim].config.ID, time.Since(killed).Seconds())
+		// The next round begins when the store has removed the entry.
+		time.Sleep(time.Until(killed.Add(entryLapse + 400*time.Millisecond)))
 	}
 	d.record.printf("%d whole answers, %d failed, %d cut answers that look complete", whole, failed, cut)
 	if whole == 0 {
