endpoints: a response whose connection was reset is not complete

Seen: an endpoint answered a long request before it had read it, with 200 and without a length, sent a part of the body and reset the connection while the request was still written. Cause: Linux reports the error of a reset connection once. The write of a long request goes on beside the read of the response; if it gets the error, the read returns a plain end, which ends a response without a length or chunks. The result of the write was not looked at. It is the same when the host of an ended process closes the connection first and resets it for the bytes that still arrive. Change: at the end of such a response, the client waits for the write. If that fails, so does the read of the body. If it goes on for UnacknowledgedTimeout, the kernel's state of the connection tells whether the endpoint has only closed its own side. As the error of a reset goes either to the read or to the write, one of them now always makes the response incomplete. Ruled out: that the length which the caller's copy gets hides the cut; the response counted as complete before.

--- a/pkg/transport/endpoints/client.go
+++ b/pkg/transport/endpoints/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/responses"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/source"
 )
 
@@ -232,8 +233,10 @@
 	stopWatch func() bool
 	// stopWindowWatch ends the watch on the endpoint's window; it is nil for a short request.
 	stopWindowWatch func()
-	// written gets the result of writing the request.
-	written chan error
+	// written is closed when the write of the request has ended, with writeErr as its
+	// result.
+	written  chan struct{}
+	writeErr error
 	// keep is set if the connection may carry another request after this one.
 	keep  bool
 	ended bool
@@ -245,17 +248,15 @@
 const maxInlineBodyBytes = 8 << 10
 
 func (e *exchange) roundTrip(request *http.Request) (*Response, error) {
-	e.written = make(chan error, 1)
+	e.written = make(chan struct{})
 	if request.ContentLength >= 0 && request.ContentLength <= maxInlineBodyBytes {
-		err := e.connection.write(request)
-		e.written <- err
-		if err != nil {
-			return nil, err
+		e.write(request)
+		if e.writeErr != nil {
+			return nil, e.writeErr
 		}
 	} else {
-		conn, written := e.connection, e.written
-		e.stopWindowWatch = conn.watchWindow(e.client.config.UnacknowledgedTimeout)
-		go func() { written <- conn.write(request) }()
+		e.stopWindowWatch = e.connection.watchWindow(e.client.config.UnacknowledgedTimeout)
+		go e.write(request)
 	}
 	response, err := e.connection.readResponse(request)
 	if err != nil {
@@ -263,13 +264,19 @@
 	}
 	e.keep = !response.Close && !request.Close && response.StatusCode >= http.StatusOK
 	if response.Body != http.NoBody {
-		response.Body = &responseBody{exchange: e, body: response.Body, left: response.ContentLength}
+		response.Body = &responseBody{exchange: e, body: response.Body, left: response.ContentLength, endsWithConnection: responses.EndsWithConnection(response)}
 	} else {
 		response.Body = emptyBody{e}
 	}
 	return &Response{Response: response, exchange: e}, nil
 }
 
+// write writes the request and records the result.
+func (e *exchange) write(request *http.Request) {
+	defer close(e.written)
+	e.writeErr = e.connection.write(request)
+}
+
 // end ends the exchange. It keeps the connection if complete is set and nothing
 // else speaks against it.
 func (e *exchange) end(complete bool) {
@@ -294,19 +301,48 @@
 
 // requestWritten reports whether the whole request has been written.
 func (e *exchange) requestWritten() bool {
+	return e.awaitWrite(writeEndTime) && e.writeErr == nil
+}
+
+// awaitWrite waits until the write of the request has ended and reports whether it has
+// within the limit. writeErr is set then.
+func (e *exchange) awaitWrite(limit time.Duration) bool {
 	select {
-	case err := <-e.written:
-		return err == nil
+	case <-e.written:
+		return true
 	default:
 	}
 	select {
-	case err := <-e.written:
-		return err == nil
-	case <-time.After(writeEndTime):
+	case <-e.written:
+		return true
+	case <-time.After(limit):
 		return false
 	}
 }
 
+// checkEnd returns io.EOF if the end of the connection is that of the whole response, and
+// the reason why it is not otherwise.
+//
+// Linux reports the reset of a connection once: if the write of the request gets the
+// error, a read returns a plain end. When the process of an endpoint ends, its host may
+// also close the connection first and reset it for the bytes that still arrive. So the
+// write must not fail. It may go on if the endpoint has closed its own side only.
+func (e *exchange) checkEnd() error {
+	if e.awaitWrite(e.client.config.UnacknowledgedTimeout) {
+		if e.writeErr == nil {
+			return io.EOF
+		}
+		return errors.Join(errUnconfirmedEnd, io.ErrUnexpectedEOF, e.writeErr)
+	}
+	halfClosed, err := e.connection.halfClosed()
+	if halfClosed {
+		return io.EOF
+	}
+	return errors.Join(errUnconfirmedEnd, io.ErrUnexpectedEOF, err)
+}
+
+var errUnconfirmedEnd = eris.New("the connection failed before the request was written, which may have cut the response")
+
 // responseBody is the body of a response. It ends the exchange when it was read to
 // its end, fails or is closed.
 type responseBody struct {
@@ -315,7 +351,9 @@
 	// left is the number of bytes that were not read; negative if the body has no
 	// stated length.
 	left int64
-	err  error
+	// endsWithConnection is set if only the end of the connection ends the body.
+	endsWithConnection bool
+	err                error
 }
 
 // Read implements io.Reader.
@@ -330,6 +368,9 @@
 	if err == nil {
 		return n, nil
 	}
+	if err == io.EOF && b.endsWithConnection {
+		err = b.exchange.checkEnd()
+	}
 	b.err = err
 	if err != io.EOF && b.exchange.ctx.Err() != nil {
 		b.err = context.Cause(b.exchange.ctx)
--- a/pkg/transport/endpoints/client_test.go
+++ b/pkg/transport/endpoints/client_test.go
@@ -415,6 +415,65 @@
 	send("a")
 }
 
+// Load: requests of 32 MB that their endpoint answers, without a length, before it has read
+// them. Guards against a response that looks whole although its connection was reset, and
+// against a whole one that fails since the write of the request goes on.
+func TestEndOfAResponseWhileTheRequestIsWritten(t *testing.T) {
+	const pause = 50 * time.Millisecond
+	reset := func(c net.Conn) error { return errors.Join(c.(*net.TCPConn).SetLinger(0), io.EOF) }
+	for name, test := range map[string]struct {
+		whole bool
+		end   func(c net.Conn, r *http.Request) error
+	}{
+		"reset": {false, func(c net.Conn, _ *http.Request) error {
+			time.Sleep(pause)
+			return reset(c)
+		}},
+		"half closed, then reset": {false, func(c net.Conn, _ *http.Request) error {
+			err := c.(*net.TCPConn).CloseWrite()
+			time.Sleep(pause)
+			return errors.Join(err, reset(c))
+		}},
+		"half closed, read later": {true, func(c net.Conn, r *http.Request) error {
+			err := c.(*net.TCPConn).CloseWrite()
+			time.Sleep(pause)
+			_, copyErr := io.Copy(io.Discard, r.Body)
+			return errors.Join(err, copyErr, io.EOF)
+		}},
+		"half closed, never read": {true, func(c net.Conn, _ *http.Request) error {
+			err := c.(*net.TCPConn).CloseWrite()
+			time.Sleep(3 * time.Second)
+			return errors.Join(err, io.EOF)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(c net.Conn, r *http.Request) error {
+				if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbody"); err != nil {
+					return err
+				}
+				return test.end(c, r)
+			})
+			client, request := newClient(), strings.Repeat("x", 32<<20)
+			var senders sync.WaitGroup
+			for range 8 {
+				senders.Go(func() {
+					began := time.Now()
+					status, body, err := exchange(client, e.request("POST", request))
+					if test.whole {
+						assert.Check(t, err)
+						assert.Check(t, status == http.StatusOK && body == "body", "status %d, body %q", status, body)
+					} else {
+						assert.Check(t, err != nil)
+						assert.Check(t, !endpoints.NeverSent(err))
+					}
+					assert.Check(t, time.Since(began) < 2500*time.Millisecond, "%v", time.Since(began))
+				})
+			}
+			senders.Wait()
+		})
+	}
+}
+
 // Load: 8 MB to an endpoint that reads nothing for 2.5 s. Guards against a connection
 // that is closed because its endpoint is slow to read: the host acknowledges each probe of
 // the kernel, so that it is no silent host, and the request may already run.
