engines: a response whose connection was reset is not complete

Seen: the daemon of the product's own interface passed on a part of a plain service's response as a complete one, after the service had reset the connection under a long request. Change: the check moves to pkg/transport/http1, and the connections of this client make it before net/http sees the end of a connection, since it then closes the connection and breaks the write. httptrace reports the result of the write. Looked for elsewhere: completions end with an event of their own; orders, reports, the store's and the configuration service's answers are JSON and their requests short; messages between VMs state their length.

--- a/pkg/transport/endpoints/client.go
+++ b/pkg/transport/endpoints/client.go
@@ -16,7 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/wagtailspoke/wagtailspoke/pkg/transport/responses"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/http1"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/source"
 )
 
@@ -109,13 +109,13 @@
 
 func (c *Client) exchange(conn *connection, request *http.Request) (*Response, error) {
 	ctx := request.Context()
-	e := &exchange{client: c, connection: conn, ctx: ctx}
+	e := &exchange{client: c, connection: conn, ctx: ctx, written: http1.NewRequestWrite()}
 	e.stopWatch = context.AfterFunc(ctx, conn.interrupt)
 	response, err := e.roundTrip(request)
 	if err != nil {
 		e.end(false)
 		// The connection is closed, so that a write that still goes on ends.
-		<-e.written
+		_ = e.written.Wait()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
@@ -233,10 +233,8 @@
 	stopWatch func() bool
 	// stopWindowWatch ends the watch on the endpoint's window; it is nil for a short request.
 	stopWindowWatch func()
-	// written is closed when the write of the request has ended, with writeErr as its
-	// result.
-	written  chan struct{}
-	writeErr error
+	// written is the write of the request.
+	written *http1.RequestWrite
 	// keep is set if the connection may carry another request after this one.
 	keep  bool
 	ended bool
@@ -248,15 +246,16 @@
 const maxInlineBodyBytes = 8 << 10
 
 func (e *exchange) roundTrip(request *http.Request) (*Response, error) {
-	e.written = make(chan struct{})
+	conn, written := e.connection, e.written
 	if request.ContentLength >= 0 && request.ContentLength <= maxInlineBodyBytes {
-		e.write(request)
-		if e.writeErr != nil {
-			return nil, e.writeErr
+		err := conn.write(request)
+		written.End(err)
+		if err != nil {
+			return nil, err
 		}
 	} else {
-		e.stopWindowWatch = e.connection.watchWindow(e.client.config.UnacknowledgedTimeout)
-		go e.write(request)
+		e.stopWindowWatch = conn.watchWindow(e.client.config.UnacknowledgedTimeout)
+		go func() { written.End(conn.write(request)) }()
 	}
 	response, err := e.connection.readResponse(request)
 	if err != nil {
@@ -264,19 +263,13 @@
 	}
 	e.keep = !response.Close && !request.Close && response.StatusCode >= http.StatusOK
 	if response.Body != http.NoBody {
-		response.Body = &responseBody{exchange: e, body: response.Body, left: response.ContentLength, endsWithConnection: responses.EndsWithConnection(response)}
+		response.Body = &responseBody{exchange: e, body: response.Body, left: response.ContentLength, endsWithConnection: http1.EndsWithConnection(response)}
 	} else {
 		response.Body = emptyBody{e}
 	}
 	return &Response{Response: response, exchange: e}, nil
 }
 
-// write writes the request and records the result.
-func (e *exchange) write(request *http.Request) {
-	defer close(e.written)
-	e.writeErr = e.connection.write(request)
-}
-
 // end ends the exchange. It keeps the connection if complete is set and nothing
 // else speaks against it.
 func (e *exchange) end(complete bool) {
@@ -301,48 +294,10 @@
 
 // requestWritten reports whether the whole request has been written.
 func (e *exchange) requestWritten() bool {
-	return e.awaitWrite(writeEndTime) && e.writeErr == nil
-}
-
-// awaitWrite waits until the write of the request has ended and reports whether it has
-// within the limit. writeErr is set then.
-func (e *exchange) awaitWrite(limit time.Duration) bool {
-	select {
-	case <-e.written:
-		return true
-	default:
-	}
-	select {
-	case <-e.written:
-		return true
-	case <-time.After(limit):
-		return false
-	}
+	ended, err := e.written.WaitFor(writeEndTime)
+	return ended && err == nil
 }
 
-// checkEnd returns io.EOF if the end of the connection is that of the whole response, and
-// the reason why it is not otherwise.
-//
-// Linux reports the reset of a connection once: if the write of the request gets the
-// error, a read returns a plain end. When the process of an endpoint ends, its host may
-// also close the connection first and reset it for the bytes that still arrive. So the
-// write must not fail. It may go on if the endpoint has closed its own side only.
-func (e *exchange) checkEnd() error {
-	if e.awaitWrite(e.client.config.UnacknowledgedTimeout) {
-		if e.writeErr == nil {
-			return io.EOF
-		}
-		return errors.Join(errUnconfirmedEnd, io.ErrUnexpectedEOF, e.writeErr)
-	}
-	halfClosed, err := e.connection.halfClosed()
-	if halfClosed {
-		return io.EOF
-	}
-	return errors.Join(errUnconfirmedEnd, io.ErrUnexpectedEOF, err)
-}
-
-var errUnconfirmedEnd = eris.New("the connection failed before the request was written, which may have cut the response")
-
 // responseBody is the body of a response. It ends the exchange when it was read to
 // its end, fails or is closed.
 type responseBody struct {
@@ -369,7 +324,7 @@
 		return n, nil
 	}
 	if err == io.EOF && b.endsWithConnection {
-		err = b.exchange.checkEnd()
+		err = b.exchange.written.CheckEnd(b.exchange.connection.Conn, b.exchange.client.config.UnacknowledgedTimeout)
 	}
 	b.err = err
 	if err != io.EOF && b.exchange.ctx.Err() != nil {
--- a/pkg/transport/endpoints/window.go
+++ b/pkg/transport/endpoints/window.go
@@ -1,12 +1,11 @@
 package endpoints
 
 import (
-	"errors"
 	"net"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/http1"
 )
 
 // windowChecksPerTimeout is the number of looks at a connection within its timeout for
@@ -83,40 +82,9 @@
 // receiverFull reports whether bytes wait only for room at the receiver, and whether a
 // probe for room is not acknowledged.
 func receiverFull(raw syscall.RawConn) (full, probed bool, err error) {
-	info, err := tcpInfo(raw)
+	info, err := http1.TCPInfo(raw)
 	if err != nil {
 		return false, false, err
 	}
 	return info.Unacked == 0 && info.Notsent_bytes > 0, info.Probes > 0, nil
 }
-
-// tcpCloseWait is the state of a connection that the other side has closed and this one
-// has not; a reset ends it (TCP_CLOSE_WAIT in Linux).
-const tcpCloseWait = 8
-
-// halfClosed reports whether the endpoint has closed its side of the connection and has
-// not reset it.
-func (c *connection) halfClosed() (bool, error) {
-	tcp, isTCP := c.Conn.(*net.TCPConn)
-	if !isTCP {
-		return false, nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false, err
-	}
-	info, err := tcpInfo(raw)
-	if err != nil {
-		return false, err
-	}
-	return info.State == tcpCloseWait, nil
-}
-
-func tcpInfo(raw syscall.RawConn) (*unix.TCPInfo, error) {
-	var info *unix.TCPInfo
-	var infoErr error
-	err := raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	return info, errors.Join(err, infoErr)
-}
--- a/pkg/transport/engines/client.go
+++ b/pkg/transport/engines/client.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/wagtailspoke/wagtailspoke/pkg/protocol/ids"
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/http1"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/source"
 )
 
@@ -38,6 +39,9 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// endCheckTimeout bounds the wait for the write of a request at the end of its
+	// connection.
+	endCheckTimeout = time.Second
 	// bodyDrainTimeout bounds the wait for the end of a response body after its
 	// last event. A connection can be reused only if the body was read to the
 	// end.
@@ -202,6 +206,8 @@
 	cancel    context.CancelCauseFunc
 	watchdog  *time.Timer
 	sendState atomic.Int32
+	// written is the write of the request on the connection that net/http chose last.
+	written atomic.Pointer[http1.RequestWrite]
 	// rejected is the error of the check before the send, if it kept the request from
 	// being written. net/http may return another one, that of the connection which
 	// it closes then.
@@ -276,7 +282,8 @@
 		request.ContentLength = int64(len(spec.body))
 	}
 	request = request.WithContext(httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*checkedConn).setNextRequest(c, spec.preSendCheck) },
+		GotConn:      func(info httptrace.GotConnInfo) { info.Conn.(*checkedConn).setNextRequest(c, spec.preSendCheck) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { c.written.Load().End(info.Err) },
 	}))
 	response, err := c.transport(spec).RoundTrip(request)
 	if err != nil {
@@ -307,18 +314,23 @@
 	// nextRequest is the request that the next write starts; nil if the next
 	// write continues a request.
 	nextRequest atomic.Pointer[connRequest]
+	// written is the write of the last request that was started; nil if none was.
+	written atomic.Pointer[http1.RequestWrite]
 }
 
 // connRequest is a request that was assigned to a connection and is not yet
 // written.
 type connRequest struct {
 	call         *call
+	written      *http1.RequestWrite
 	preSendCheck PreSendCheck
 }
 
 // setNextRequest sets the request that the next write starts.
 func (g *checkedConn) setNextRequest(c *call, preSendCheck PreSendCheck) {
-	g.nextRequest.Store(&connRequest{call: c, preSendCheck: preSendCheck})
+	written := http1.NewRequestWrite()
+	c.written.Store(written)
+	g.nextRequest.Store(&connRequest{call: c, written: written, preSendCheck: preSendCheck})
 }
 
 // markSending records that the request is about to be written, and reports
@@ -346,6 +358,7 @@
 	if !request.call.markSending() {
 		return 0, &preSendCheckError{errCallEnded}
 	}
+	g.written.Store(request.written)
 	n, err := g.Conn.Write(buffer)
 	if n == 0 && err != nil {
 		request.call.sendState.CompareAndSwap(sendStarted, sendPending)
@@ -353,6 +366,19 @@
 	return n, err
 }
 
+// Read implements io.Reader. It returns the end of the connection only once that is known
+// to end a response: net/http closes the connection at that end, and the write with it.
+func (g *checkedConn) Read(buffer []byte) (int, error) {
+	n, err := g.Conn.Read(buffer)
+	if err != io.EOF {
+		return n, err
+	}
+	if written := g.written.Load(); written != nil {
+		err = written.CheckEnd(g.Conn, endCheckTimeout)
+	}
+	return n, err
+}
+
 // watchedBody is a response body whose reads reset the call's watchdog when
 // they return data.
 type watchedBody struct {
