http1: a head with a malformed field name is no answer

Seen: callers got an answer in whose head the name of a field held a blank, with another signature or body than the endpoint's, or were refused on the word of such an answer. Cause: net/http accepts blanks in a field name. It ignores the field, so that the length or the chunks of the body are not applied, and joins a line that begins with a blank to the field before. Names with control characters and empty ones it rejects. Change: http1.HeadChecker checks the names in the bytes of a head as both clients of endpoints read them, interim heads included; the read fails at a malformed one. Why the bytes: behind the parser, a joined line can't be told from a value.

--- a/pkg/transport/endpoints/client.go
+++ b/pkg/transport/endpoints/client.go
@@ -377,8 +377,9 @@
 	// carried holds the hashes of the IDs of all requests so far.
 	carried []uint64
 	// headBytesLeft bounds what may still be read of the head of a response; it is
-	// negative outside of heads.
+	// negative outside of heads. head checks what is read within it.
 	headBytesLeft int
+	head          http1.HeadChecker
 	// sentBytes counts the bytes of the current request that the kernel has taken.
 	sentBytes atomic.Int64
 }
@@ -442,7 +443,7 @@
 
 // readResponse returns the final response, without those that precede it.
 func (c *connection) readResponse(request *http.Request) (*http.Response, error) {
-	c.headBytesLeft = maxResponseHeaderBytes
+	c.headBytesLeft, c.head = maxResponseHeaderBytes, http1.HeadChecker{}
 	defer func() { c.headBytesLeft = -1 }()
 	for range maxInterimResponses + 1 {
 		response, err := http.ReadResponse(c.reader, request)
@@ -459,7 +460,7 @@
 
 var errHeadTooLong = eris.Errorf("the head of the response has more than %d bytes", maxResponseHeaderBytes)
 
-// headLimitedReader reads from a connection within the bound of a head.
+// headLimitedReader reads from a connection within the bound of a head, which it checks.
 type headLimitedReader connection
 
 // Read implements io.Reader.
@@ -473,6 +474,9 @@
 	n, err := r.Conn.Read(p)
 	if r.headBytesLeft > 0 {
 		r.headBytesLeft -= n
+		if malformed := r.head.Check(p[:n]); malformed != nil {
+			return 0, malformed
+		}
 	}
 	return n, err
 }
--- a/pkg/transport/engines/client.go
+++ b/pkg/transport/engines/client.go
@@ -307,15 +307,18 @@
 func (e *preSendCheckError) Unwrap() error { return e.error }
 
 // checkedConn runs a request's check right before it writes the request's first
-// byte: only one system call lies between the check and the write. HTTP/1.1
-// without pipelining has one request at a time on a connection.
+// byte: only one system call lies between the check and the write. It also makes
+// the checks of responses that net/http leaves out. HTTP/1.1 without pipelining has
+// one request at a time on a connection.
 type checkedConn struct {
 	net.Conn
 	// nextRequest is the request that the next write starts; nil if the next
 	// write continues a request.
 	nextRequest atomic.Pointer[connRequest]
-	// written is the write of the last request that was started; nil if none was.
+	// written is the write of the last request that was started, and head checks the head
+	// of its response; nil if none was.
 	written atomic.Pointer[http1.RequestWrite]
+	head    atomic.Pointer[http1.HeadChecker]
 }
 
 // connRequest is a request that was assigned to a connection and is not yet
@@ -359,6 +362,7 @@
 		return 0, &preSendCheckError{errCallEnded}
 	}
 	g.written.Store(request.written)
+	g.head.Store(&http1.HeadChecker{})
 	n, err := g.Conn.Write(buffer)
 	if n == 0 && err != nil {
 		request.call.sendState.CompareAndSwap(sendStarted, sendPending)
@@ -366,14 +370,17 @@
 	return n, err
 }
 
-// Read implements io.Reader. It returns the end of the connection only once that is known
-// to end a response: net/http closes the connection at that end, and the write with it.
+// Read implements io.Reader. It checks the head of a response, and returns the end of the
+// connection only once that is known to end a response: net/http closes the connection at
+// that end, and the write with it.
 func (g *checkedConn) Read(buffer []byte) (int, error) {
 	n, err := g.Conn.Read(buffer)
-	if err != io.EOF {
-		return n, err
+	if head := g.head.Load(); head != nil {
+		if malformed := head.Check(buffer[:n]); malformed != nil {
+			return 0, malformed
+		}
 	}
-	if written := g.written.Load(); written != nil {
+	if written := g.written.Load(); written != nil && err == io.EOF {
 		err = written.CheckEnd(g.Conn, endCheckTimeout)
 	}
 	return n, err
--- a/pkg/transport/engines/engines_test.go
+++ b/pkg/transport/engines/engines_test.go
@@ -240,6 +240,32 @@
 	}
 }
 
+// Guards against a response that is used although a field name in its head is malformed:
+// the field may be the one that says where the body ends.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	for _, field := range []string{"Some Name: value", "Content-Length : 2", "Transfer-Encoding : chunked", " Some-Name: value", "Some\x01Name: value"} {
+		t.Run(field, func(t *testing.T) {
+			endpoint := startTCPServer(t, func(conn net.Conn, _ int64, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nServer: test\r\n"+field+"\r\n\r\n{}")
+				return false
+			})
+			client := newTestClient(t)
+			_, completed := completeRequest(client, endpoint)
+			_, reported := client.FetchLoadReport(context.Background(), endpoint)
+			for step, failure := range map[string]*Failure{
+				"service":    forward(client, endpoint, ServiceRequest{Method: http.MethodPost, Target: "/"}),
+				"repeatable": forward(client, endpoint, ServiceRequest{Method: http.MethodGet, Target: "/", Repeatable: true}),
+				"completion": completed,
+				"report":     reported,
+				"order":      client.LoadAdapter(context.Background(), endpoint, 7, testModel, "s", func() error { return nil }),
+			} {
+				assert.Assert(t, failure != nil, step)
+				assert.Check(t, failure.Cause == CauseConnectionLost && failure.MaybeSent, "%s: %v", step, failure)
+			}
+		})
+	}
+}
+
 // Guards against sending a request that the check right before sending
 // rejected, for example because the key was withdrawn while the connection was
 // being opened.
