standin/early: one server for the tests of early responses

Cause: three tests had servers of their own that respond before they have read a request. Change: internal/standin/early serves and ends the connections; the four endings are the same for both clients and for a VM. The error of an unconfirmed end is wrapped in one line. "half closed, never read" is new for a VM.

--- a/pkg/transport/endpoints/client_test.go
+++ b/pkg/transport/endpoints/client_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wagtailspoke/wagtailspoke/internal/standin/early"
 	"github.com/wagtailspoke/wagtailspoke/pkg/transport/endpoints"
 )
 
@@ -419,49 +420,22 @@
 // them. Guards against a response that looks whole although its connection was reset, and
 // against a whole one that fails since the write of the request goes on.
 func TestEndOfAResponseWhileTheRequestIsWritten(t *testing.T) {
-	const pause = 50 * time.Millisecond
-	reset := func(c net.Conn) error { return errors.Join(c.(*net.TCPConn).SetLinger(0), io.EOF) }
-	for name, test := range map[string]struct {
-		whole bool
-		end   func(c net.Conn, r *http.Request) error
-	}{
-		"reset": {false, func(c net.Conn, _ *http.Request) error {
-			time.Sleep(pause)
-			return reset(c)
-		}},
-		"half closed, then reset": {false, func(c net.Conn, _ *http.Request) error {
-			err := c.(*net.TCPConn).CloseWrite()
-			time.Sleep(pause)
-			return errors.Join(err, reset(c))
-		}},
-		"half closed, read later": {true, func(c net.Conn, r *http.Request) error {
-			err := c.(*net.TCPConn).CloseWrite()
-			time.Sleep(pause)
-			_, copyErr := io.Copy(io.Discard, r.Body)
-			return errors.Join(err, copyErr, io.EOF)
-		}},
-		"half closed, never read": {true, func(c net.Conn, _ *http.Request) error {
-			err := c.(*net.TCPConn).CloseWrite()
-			time.Sleep(3 * time.Second)
-			return errors.Join(err, io.EOF)
-		}},
-	} {
-		t.Run(name, func(t *testing.T) {
-			e := newEndpoint(t, func(c net.Conn, r *http.Request) error {
-				if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbody"); err != nil {
-					return err
-				}
-				return test.end(c, r)
-			})
-			client, request := newClient(), strings.Repeat("x", 32<<20)
+	body := strings.Repeat("x", 32<<20)
+	for _, ending := range early.Endings {
+		t.Run(ending.Name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go early.Serve(listener, ending, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
+			e, client := &endpoint{listener: listener}, newClient()
 			var senders sync.WaitGroup
 			for range 8 {
 				senders.Go(func() {
 					began := time.Now()
-					status, body, err := exchange(client, e.request("POST", request))
-					if test.whole {
+					status, got, err := exchange(client, e.request("POST", body))
+					if ending.Whole {
 						assert.Check(t, err)
-						assert.Check(t, status == http.StatusOK && body == "body", "status %d, body %q", status, body)
+						assert.Check(t, status == http.StatusOK && got == "body", "status %d, body %q", status, got)
 					} else {
 						assert.Check(t, err != nil)
 						assert.Check(t, !endpoints.NeverSent(err))
--- a/pkg/transport/http1/request_write.go
+++ b/pkg/transport/http1/request_write.go
@@ -53,9 +53,6 @@
 	}
 }
 
-// ErrUnconfirmedEnd means that the end of a connection may have cut the response.
-var ErrUnconfirmedEnd = eris.New("the connection failed before the request was written, which may have cut the response")
-
 // CheckEnd returns io.EOF if the end of a connection, at which a read has arrived, is that
 // of everything that the other side has sent, and the reason why it is not otherwise.
 //
@@ -73,8 +70,11 @@
 		if halfClosed, err = isHalfClosed(connection); halfClosed {
 			return io.EOF
 		}
+		if err == nil {
+			err = io.ErrUnexpectedEOF
+		}
 	}
-	return errors.Join(ErrUnconfirmedEnd, io.ErrUnexpectedEOF, err)
+	return eris.Wrap(err, "connection failed before the request was written, which may have cut the response")
 }
 
 // tcpCloseWait is the state of a connection that the other side has closed and this one
