http1: wait until the request has arrived before a response counts as complete

Seen: a part of a response still looked complete when the endpoint closed its side and then reset the connection under a request of 200 kB. Cause: the kernel takes such a request at once, so that its write has ended without an error when the end of the response is read. The reset comes for the bytes that are still on their way. Change: the end of a response that ends with its connection counts when the endpoint's host has acknowledged all of the request and the connection was not reset (TCP_INFO). The limit stays; the caller's context ends the wait.

--- a/pkg/transport/endpoints/client.go
+++ b/pkg/transport/endpoints/client.go
@@ -324,7 +324,8 @@
 		return n, nil
 	}
 	if err == io.EOF && b.endsWithConnection {
-		err = b.exchange.written.CheckEnd(b.exchange.connection.Conn, b.exchange.client.config.UnacknowledgedTimeout)
+		e := b.exchange
+		err = e.written.CheckEnd(e.ctx, e.connection.Conn, e.client.config.UnacknowledgedTimeout)
 	}
 	b.err = err
 	if err != io.EOF && b.exchange.ctx.Err() != nil {
--- a/pkg/transport/endpoints/client_test.go
+++ b/pkg/transport/endpoints/client_test.go
@@ -416,34 +416,56 @@
 	send("a")
 }
 
-// Load: requests of 32 MB that their endpoint answers, without a length, before it has read
-// them. Guards against a response that looks whole although its connection was reset, and
-// against a whole one that fails since the write of the request goes on.
+// Load: requests of 32 MB and of 200 kB, which the kernel takes at once, that their endpoint
+// answers, without a length, before it has read them. Guards against a response that looks
+// whole although its connection was reset, and against a whole one that fails since the
+// write of the request goes on.
 func TestEndOfAResponseWhileTheRequestIsWritten(t *testing.T) {
-	body := strings.Repeat("x", 32<<20)
 	for _, ending := range early.Endings {
-		t.Run(ending.Name, func(t *testing.T) {
+		for _, bodyBytes := range []int{200_000, 32 << 20} {
+			t.Run(fmt.Sprintf("%s, %d bytes", ending.Name, bodyBytes), func(t *testing.T) {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				t.Cleanup(func() { _ = listener.Close() })
+				go early.Serve(listener, ending, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
+				e, client := &endpoint{listener: listener}, newClient()
+				body := strings.Repeat("x", bodyBytes)
+				var senders sync.WaitGroup
+				for range 8 {
+					senders.Go(func() {
+						began := time.Now()
+						status, got, err := exchange(client, e.request("POST", body))
+						if ending.Whole {
+							assert.Check(t, err)
+							assert.Check(t, status == http.StatusOK && got == "body", "status %d, body %q", status, got)
+						} else {
+							assert.Check(t, err != nil)
+							assert.Check(t, !endpoints.NeverSent(err))
+						}
+						assert.Check(t, time.Since(began) < 2500*time.Millisecond, "%v", time.Since(began))
+					})
+				}
+				senders.Wait()
+			})
+		}
+	}
+}
+
+// Guards against a caller that waits on behind a response whose request is still unread.
+func TestContextEndsTheWaitAtTheEndOfAResponse(t *testing.T) {
+	neverRead := early.Endings[len(early.Endings)-1]
+	for _, bodyBytes := range []int{200_000, 32 << 20} {
+		t.Run(fmt.Sprintf("%d bytes", bodyBytes), func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
 			t.Cleanup(func() { _ = listener.Close() })
-			go early.Serve(listener, ending, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
-			e, client := &endpoint{listener: listener}, newClient()
-			var senders sync.WaitGroup
-			for range 8 {
-				senders.Go(func() {
-					began := time.Now()
-					status, got, err := exchange(client, e.request("POST", body))
-					if ending.Whole {
-						assert.Check(t, err)
-						assert.Check(t, status == http.StatusOK && got == "body", "status %d, body %q", status, got)
-					} else {
-						assert.Check(t, err != nil)
-						assert.Check(t, !endpoints.NeverSent(err))
-					}
-					assert.Check(t, time.Since(began) < 2500*time.Millisecond, "%v", time.Since(began))
-				})
-			}
-			senders.Wait()
+			go early.Serve(listener, neverRead, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			began := time.Now()
+			_, _, err = exchange(newClient(), (&endpoint{listener: listener}).request("POST", strings.Repeat("x", bodyBytes)).WithContext(ctx))
+			assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+			assert.Assert(t, time.Since(began) < 500*time.Millisecond, "%v", time.Since(began))
 		})
 	}
 }
--- a/pkg/transport/endpoints/endpoints.go
+++ b/pkg/transport/endpoints/endpoints.go
@@ -23,7 +23,7 @@
 	DialTimeout time.Duration
 	// UnacknowledgedTimeout is how long sent bytes may remain unacknowledged
 	// before the kernel closes the connection (TCP_USER_TIMEOUT). It also bounds the
-	// wait for the write of a request whose response has ended with its connection.
+	// wait for the arrival of a request whose response has ended with its connection.
 	UnacknowledgedTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept open.
 	IdleTimeout time.Duration
--- a/pkg/transport/engines/client.go
+++ b/pkg/transport/engines/client.go
@@ -39,7 +39,7 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
-	// endCheckTimeout bounds the wait for the write of a request at the end of its
+	// endCheckTimeout bounds the wait for the arrival of a request at the end of its
 	// connection.
 	endCheckTimeout = time.Second
 	// bodyDrainTimeout bounds the wait for the end of a response body after its
@@ -315,18 +315,17 @@
 	// nextRequest is the request that the next write starts; nil if the next
 	// write continues a request.
 	nextRequest atomic.Pointer[connRequest]
-	// written is the write of the last request that was started, and head checks the head
-	// of its response; nil if none was.
-	written atomic.Pointer[http1.RequestWrite]
-	head    atomic.Pointer[http1.HeadChecker]
+	// startedRequest is the last request whose write has started; nil if none has.
+	startedRequest atomic.Pointer[connRequest]
 }
 
-// connRequest is a request that was assigned to a connection and is not yet
-// written.
+// connRequest is a request that was assigned to a connection.
 type connRequest struct {
 	call         *call
-	written      *http1.RequestWrite
 	preSendCheck PreSendCheck
+	written      *http1.RequestWrite
+	// head checks the head of the response. Only the reader of the connection uses it.
+	head http1.HeadChecker
 }
 
 // setNextRequest sets the request that the next write starts.
@@ -361,8 +360,7 @@
 	if !request.call.markSending() {
 		return 0, &preSendCheckError{errCallEnded}
 	}
-	g.written.Store(request.written)
-	g.head.Store(&http1.HeadChecker{})
+	g.startedRequest.Store(request)
 	n, err := g.Conn.Write(buffer)
 	if n == 0 && err != nil {
 		request.call.sendState.CompareAndSwap(sendStarted, sendPending)
@@ -375,13 +373,15 @@
 // that end, and the write with it.
 func (g *checkedConn) Read(buffer []byte) (int, error) {
 	n, err := g.Conn.Read(buffer)
-	if head := g.head.Load(); head != nil {
-		if malformed := head.Check(buffer[:n]); malformed != nil {
-			return 0, malformed
-		}
+	request := g.startedRequest.Load()
+	if request == nil {
+		return n, err
+	}
+	if malformed := request.head.Check(buffer[:n]); malformed != nil {
+		return 0, malformed
 	}
-	if written := g.written.Load(); written != nil && err == io.EOF {
-		err = written.CheckEnd(g.Conn, endCheckTimeout)
+	if err == io.EOF {
+		err = request.written.CheckEnd(request.call.ctx, g.Conn, endCheckTimeout)
 	}
 	return n, err
 }
--- a/pkg/transport/http1/request_write.go
+++ b/pkg/transport/http1/request_write.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -58,45 +59,60 @@
 //
 // Linux reports the reset of a connection once: if the write of the request gets the
 // error, a read returns a plain end. When a server's process ends, its host may also close
-// the connection first and reset it for the bytes that still arrive. So the write must not
-// fail. If it still goes on after the limit, the server must have closed its own side only.
-func (w *RequestWrite) CheckEnd(connection net.Conn, limit time.Duration) error {
-	ended, err := w.WaitFor(limit)
-	if ended && err == nil {
-		return io.EOF
+// the connection first and reset it for the bytes that still arrive. So no reset may come
+// until all of the request has arrived. If that takes longer than the limit, the server has
+// closed its own side only.
+func (w *RequestWrite) CheckEnd(ctx context.Context, connection net.Conn, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	written, err := w.WaitFor(limit)
+	if err != nil {
+		return cutResponse(err)
 	}
-	if !ended {
-		var halfClosed bool
-		if halfClosed, err = isHalfClosed(connection); halfClosed {
+	for {
+		reset, arrived, err := requestState(connection)
+		switch {
+		case err != nil:
+			return cutResponse(err)
+		case reset:
+			return cutResponse(syscall.ECONNRESET)
+		case written && arrived, !time.Now().Before(deadline):
 			return io.EOF
 		}
-		if err == nil {
-			err = io.ErrUnexpectedEOF
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(endCheckInterval):
 		}
 	}
-	return eris.Wrap(err, "connection failed before the request was written, which may have cut the response")
 }
 
-// tcpCloseWait is the state of a connection that the other side has closed and this one
-// has not; a reset ends it (TCP_CLOSE_WAIT in Linux).
-const tcpCloseWait = 8
+// endCheckInterval is the time between two looks at a connection whose end has been read.
+const endCheckInterval = 10 * time.Millisecond
+
+func cutResponse(err error) error {
+	return eris.Wrap(err, "connection failed before the request had arrived, which may have cut the response")
+}
 
-// isHalfClosed reports whether the other side has closed its direction of a connection and
-// has not reset it.
-func isHalfClosed(connection net.Conn) (bool, error) {
-	tcp, isTCP := connection.(*net.TCPConn)
+// tcpClose is the state of a connection that was reset (TCP_CLOSE in Linux). One that the
+// other side has closed is in another state as long as this side is open.
+const tcpClose = 7
+
+// requestState reports whether a connection was reset, and whether the other side has
+// acknowledged everything that was written.
+func requestState(connection net.Conn) (reset, arrived bool, err error) {
+	tcp, isTCP := connection.(syscall.Conn)
 	if !isTCP {
-		return false, nil
+		return false, true, nil
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false, err
+		return false, false, err
 	}
 	info, err := TCPInfo(raw)
 	if err != nil {
-		return false, err
+		return false, false, err
 	}
-	return info.State == tcpCloseWait, nil
+	return info.State == tcpClose, info.Unacked == 0 && info.Notsent_bytes == 0, nil
 }
 
 // TCPInfo returns what the kernel says of a connection.
