--- a/internal/standin/early/early.go
+++ b/internal/standin/early/early.go
@@ -44,13 +44,17 @@
 		_, copyErr := io.Copy(io.Discard, body)
 		return errors.Join(err, copyErr)
 	}},
-	{Name: "half closed, never read", Whole: true, end: func(conn *net.TCPConn, _ io.Reader) error {
-		err := conn.CloseWrite()
-		time.Sleep(holdTime)
-		return err
-	}},
+	NeverRead,
 }
 
+// NeverRead is the ending of a server that closes its own side only and does not read the
+// request.
+var NeverRead = Ending{Name: "half closed, never read", Whole: true, end: func(conn *net.TCPConn, _ io.Reader) error {
+	err := conn.CloseWrite()
+	time.Sleep(holdTime)
+	return err
+}}
+
 // Serve serves one request on each connection until the listener is closed. respond
 // returns the response to a request, with its head.
 func Serve(listener net.Listener, ending Ending, respond func(*http.Request) string) {
--- a/pkg/transport/endpoints/client_test.go
+++ b/pkg/transport/endpoints/client_test.go
@@ -453,13 +453,12 @@
 
 // Guards against a caller that waits on behind a response whose request is still unread.
 func TestContextEndsTheWaitAtTheEndOfAResponse(t *testing.T) {
-	neverRead := early.Endings[len(early.Endings)-1]
 	for _, bodyBytes := range []int{200_000, 32 << 20} {
 		t.Run(fmt.Sprintf("%d bytes", bodyBytes), func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
 			t.Cleanup(func() { _ = listener.Close() })
-			go early.Serve(listener, neverRead, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
+			go early.Serve(listener, early.NeverRead, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
 			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 			defer cancel()
 			began := time.Now()
