ctl: a status below 200 is no success

Seen: wagtailctl status printed an empty status, and drain waited for 60 s, when the VM's admin port answered with the status 000 or 099. Cause: callAdmin rejected statuses from 300 on only; net/http returns those below 100 too. Looked for as the same fault as in the callers' answers: the other commands and the clients of the configuration service, the store and the endpoints compare with the one status that they expect or with a range. Change: both bounds of success are checked. Result: TestInvalidStatusIsNoAnswerOfAVM on the code before: status exited with success for 000 and 099, drain failed only after 60 s, over the test's 10 s; 101, 600 and burn were rejected at once.

--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -180,6 +181,29 @@
 	assert.Equal(t, out, "drain: draining, waiting for 2 requests\ndrain: drained\n")
 }
 
+// Guards against an answer whose status HTTP does not allow for a final response, and that
+// is taken for a VM's, or for the start of a drain whose end is awaited.
+func TestInvalidStatusIsNoAnswerOfAVM(t *testing.T) {
+	for _, status := range []string{"000 None", "099 Low", "101 Switching Protocols", "600 High"} {
+		for _, command := range []string{"status", "drain", "burn"} {
+			t.Run(command+" "+status, func(t *testing.T) {
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					connection, _, err := http.NewResponseController(w).Hijack()
+					assert.Check(t, err)
+					_, err = fmt.Fprintf(connection, "HTTP/1.1 %s\r\nContent-Length: 2\r\n\r\n{}", status)
+					assert.Check(t, err)
+					assert.Check(t, connection.Close())
+				}))
+				t.Cleanup(server.Close)
+				began := time.Now()
+				code, out, _ := runCommand(t, command, strings.TrimPrefix(server.URL, "http://"))
+				assert.Assert(t, code != ExitSuccess, out)
+				assert.Assert(t, time.Since(began) < 10*time.Second, "%v", time.Since(began))
+			})
+		}
+	}
+}
+
 // Guards against a drain that is reported as finished while it is still in
 // progress.
 func TestDrainTimesOut(t *testing.T) {
--- a/pkg/ctl/vm.go
+++ b/pkg/ctl/vm.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return fmt.Errorf("%s answered %s to %s %s", address, response.Status, method, path)
 	}
 	return json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(result)
