Test short requests, HTTP/1.0, empty bodies and what a malformed head says

Change: early responses come in HTTP/1.0 and without a body too, and to short requests; the stand-in opens its own port, for which three tests had the same lines.

--- a/internal/standin/early/early.go
+++ b/internal/standin/early/early.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // Ending is what a server does with a connection behind its response.
@@ -27,45 +30,51 @@
 	holdTime = 3 * time.Second
 )
 
-// Endings are the ways in which a connection ends while its request may still be written.
-var Endings = []Ending{
-	{Name: "reset", end: func(conn *net.TCPConn, _ io.Reader) error {
+// The ways in which a connection ends while its request may still be written.
+var (
+	Reset = Ending{Name: "reset", end: func(conn *net.TCPConn, _ io.Reader) error {
 		time.Sleep(pause)
 		return conn.SetLinger(0)
-	}},
-	{Name: "half closed, then reset", end: func(conn *net.TCPConn, _ io.Reader) error {
+	}}
+	HalfClosedThenReset = Ending{Name: "half closed, then reset", end: func(conn *net.TCPConn, _ io.Reader) error {
 		err := conn.CloseWrite()
 		time.Sleep(pause)
 		return errors.Join(err, conn.SetLinger(0))
-	}},
-	{Name: "half closed, read later", Whole: true, end: func(conn *net.TCPConn, body io.Reader) error {
+	}}
+	ReadLater = Ending{Name: "half closed, read later", Whole: true, end: func(conn *net.TCPConn, body io.Reader) error {
 		err := conn.CloseWrite()
 		time.Sleep(pause)
 		_, copyErr := io.Copy(io.Discard, body)
 		return errors.Join(err, copyErr)
-	}},
-	NeverRead,
-}
+	}}
+	NeverRead = Ending{Name: "half closed, never read", Whole: true, end: func(conn *net.TCPConn, _ io.Reader) error {
+		err := conn.CloseWrite()
+		time.Sleep(holdTime)
+		return err
+	}}
 
-// NeverRead is the ending of a server that closes its own side only and does not read the
-// request.
-var NeverRead = Ending{Name: "half closed, never read", Whole: true, end: func(conn *net.TCPConn, _ io.Reader) error {
-	err := conn.CloseWrite()
-	time.Sleep(holdTime)
-	return err
-}}
+	Endings = []Ending{Reset, HalfClosedThenReset, ReadLater, NeverRead}
+)
 
-// Serve serves one request on each connection until the listener is closed. respond
-// returns the response to a request, with its head.
-func Serve(listener net.Listener, ending Ending, respond func(*http.Request) string) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
+// Start starts a server on a loopback port, which serves one request on each connection
+// until the test ends, and returns its address. respond returns the response to a request,
+// with its head.
+func Start(t testing.TB, ending Ending, respond func(*http.Request) string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			// A connection that breaks is what the tests are about.
+			go func() { _ = serve(conn.(*net.TCPConn), ending, respond) }()
 		}
-		// A connection that breaks is what the tests are about.
-		go func() { _ = serve(conn.(*net.TCPConn), ending, respond) }()
-	}
+	}()
+	return listener.Addr().String()
 }
 
 func serve(conn *net.TCPConn, ending Ending, respond func(*http.Request) string) error {
--- a/pkg/transport/endpoints/client_test.go
+++ b/pkg/transport/endpoints/client_test.go
@@ -63,8 +63,12 @@
 }
 
 func (e *endpoint) request(method, body string) *http.Request {
+	return requestTo(e.listener.Addr().String(), "/x", method, body)
+}
+
+func requestTo(address, path, method, body string) *http.Request {
 	request := &http.Request{
-		Method: method, URL: &url.URL{Scheme: "http", Host: e.listener.Addr().String(), Path: "/x"}, Host: "svc.example", Header: http.Header{},
+		Method: method, URL: &url.URL{Scheme: "http", Host: address, Path: path}, Host: "svc.example", Header: http.Header{},
 	}
 	if body != "" {
 		request.Body, request.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
@@ -423,52 +427,79 @@
 func TestEndOfAResponseWhileTheRequestIsWritten(t *testing.T) {
 	for _, ending := range early.Endings {
 		for _, bodyBytes := range []int{200_000, 32 << 20} {
-			t.Run(fmt.Sprintf("%s, %d bytes", ending.Name, bodyBytes), func(t *testing.T) {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				assert.NilError(t, err)
-				t.Cleanup(func() { _ = listener.Close() })
-				go early.Serve(listener, ending, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
-				e, client := &endpoint{listener: listener}, newClient()
-				body := strings.Repeat("x", bodyBytes)
-				var senders sync.WaitGroup
-				for range 8 {
-					senders.Go(func() {
-						began := time.Now()
-						status, got, err := exchange(client, e.request("POST", body))
-						if ending.Whole {
-							assert.Check(t, err)
-							assert.Check(t, status == http.StatusOK && got == "body", "status %d, body %q", status, got)
-						} else {
-							assert.Check(t, err != nil)
-							assert.Check(t, !endpoints.NeverSent(err))
-						}
-						assert.Check(t, time.Since(began) < 2500*time.Millisecond, "%v", time.Since(began))
-					})
-				}
-				senders.Wait()
-			})
+			t.Run(fmt.Sprintf("%s, %d bytes", ending.Name, bodyBytes), func(t *testing.T) { exchangeEarly(t, ending, strings.Repeat("x", bodyBytes)) })
 		}
 	}
 }
 
+// Guards against the same beside requests that have arrived whole.
+func TestEndOfAResponseToAShortRequest(t *testing.T) {
+	for _, ending := range []early.Ending{early.Reset, early.ReadLater} {
+		for _, bodyBytes := range []int{0, 100} {
+			t.Run(fmt.Sprintf("%s, %d bytes", ending.Name, bodyBytes), func(t *testing.T) { exchangeEarly(t, ending, strings.Repeat("x", bodyBytes)) })
+		}
+	}
+}
+
+// exchangeEarly sends requests to an endpoint whose responses state no length.
+func exchangeEarly(t *testing.T, ending early.Ending, body string) {
+	responses := []string{"HTTP/1.1 200 OK\r\n\r\nbody", "HTTP/1.0 200 OK\r\n\r\nbody", "HTTP/1.1 200 OK\r\n\r\n"}
+	address := early.Start(t, ending, func(r *http.Request) string { return responses[r.URL.Path[1]-'0'] })
+	client := newClient()
+	var senders sync.WaitGroup
+	for i := range 9 {
+		senders.Go(func() {
+			began, choice := time.Now(), i%len(responses)
+			status, got, err := exchange(client, requestTo(address, fmt.Sprintf("/%d", choice), http.MethodPost, body))
+			if ending.Whole {
+				assert.Check(t, err)
+				assert.Check(t, status == http.StatusOK && strings.HasSuffix(responses[choice], "\r\n\r\n"+got), "status %d, body %q", status, got)
+			} else {
+				assert.Check(t, err != nil, "response %d", choice)
+				assert.Check(t, !endpoints.NeverSent(err))
+			}
+			assert.Check(t, time.Since(began) < 2500*time.Millisecond, "%v", time.Since(began))
+		})
+	}
+	senders.Wait()
+}
+
 // Guards against a caller that waits on behind a response whose request is still unread.
 func TestContextEndsTheWaitAtTheEndOfAResponse(t *testing.T) {
 	for _, bodyBytes := range []int{200_000, 32 << 20} {
 		t.Run(fmt.Sprintf("%d bytes", bodyBytes), func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			t.Cleanup(func() { _ = listener.Close() })
-			go early.Serve(listener, early.NeverRead, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
+			address := early.Start(t, early.NeverRead, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nbody" })
 			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 			defer cancel()
 			began := time.Now()
-			_, _, err = exchange(newClient(), (&endpoint{listener: listener}).request("POST", strings.Repeat("x", bodyBytes)).WithContext(ctx))
+			_, _, err := exchange(newClient(), requestTo(address, "/x", http.MethodPost, strings.Repeat("x", bodyBytes)).WithContext(ctx))
 			assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 			assert.Assert(t, time.Since(began) < 500*time.Millisecond, "%v", time.Since(began))
 		})
 	}
 }
 
+// Guards against a connection that is used again behind a malformed head, and against one
+// that the head keeps open.
+func TestMalformedHeadEndsItsConnection(t *testing.T) {
+	for _, line := range []string{"Some Name: value", "Content-Length : 4", " Some-Name: value", "Some\x01Name: value", "no colon"} {
+		for _, status := range []string{"100 Continue", "200 OK", "503 Service Unavailable"} {
+			t.Run(status+" "+line, func(t *testing.T) {
+				e := newEndpoint(t, answer("HTTP/1.1 "+status+"\r\nServer: test\r\n"+line+"\r\nContent-Length: 4\r\n\r\nbody"))
+				client := newClient()
+				for range 3 {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					_, _, err := exchange(client, e.request("POST", "x").WithContext(ctx))
+					assert.Assert(t, err != nil)
+					assert.Assert(t, ctx.Err() == nil && !endpoints.NeverSent(err), "%v", err)
+					cancel()
+				}
+				assert.Equal(t, e.accepted.Load(), int64(3))
+			})
+		}
+	}
+}
+
 // Load: 8 MB to an endpoint that reads nothing for 2.5 s. Guards against a connection
 // that is closed because its endpoint is slow to read: the host acknowledges each probe of
 // the kernel, so that it is no silent host, and the request may already run.
