authority: after a refused token, wait a lease without orders of others

Cause: a VM whose token an engine refused claimed again with its next tick, with a token that is 3,600 s higher. Of two VMs that do not hear each other, each so displaced the other. A VM that had heard nobody since its start displaced a holder that it could not know. The wait after an order of another VM existed only where engines check no tokens. One token of two VMs was ruled out: the low part of each is the VM's address. Change: a refusal counts as an order of another VM. The VM makes no claim until a lease has passed without a further one, unless a claim of a peer explains it, and reads the engines' reports meanwhile, whose number of accepted orders shows orders of others. A VM that has heard no other one does the same before its first claim. TestRefusedTokenIsNeverUsedAgain asserted a new claim at the moment of the refusal, which is the fault; it now asserts that there is none, and the same of the token that follows a lease later. It also sets that engines check tokens, since others refuse none.

--- a/pkg/coordination/authority/authority.go
+++ b/pkg/coordination/authority/authority.go
@@ -104,6 +104,16 @@
 	// heardFromPeer reports that some other VM has reported its claims.
 	heardFromPeer bool
 
+	// watchedSince holds the data centres that this VM would claim, and since
+	// when it has read the reports of their engines.
+	watchedSince map[ids.DataCentreID]time.Time
+	// foreignOrders holds the data centres in which this VM or a peer noticed an
+	// order of another VM, and when.
+	foreignOrders map[ids.DataCentreID]time.Time
+	// claimHeardAt is when a claim of another VM on a data centre was last heard.
+	// It explains the orders that were noticed before.
+	claimHeardAt map[ids.DataCentreID]time.Time
+
 	// The remaining fields are used only if the engines check no fencing
 	// tokens.
 
@@ -115,32 +125,23 @@
 	unconfirmedClaims map[ids.DataCentreID]time.Time
 	// claimedAlone holds the data centres that were claimed without contact.
 	claimedAlone map[ids.DataCentreID]bool
-	// watchedSince holds the data centres that this VM would claim, and since
-	// when it has read the reports of their engines.
-	watchedSince map[ids.DataCentreID]time.Time
-	// foreignOrders holds the data centres in which this VM or a peer noticed an
-	// order of another VM while it held or was about to make the claim, and when.
-	foreignOrders map[ids.DataCentreID]time.Time
-	// claimHeardAt is when a claim of another VM on a data centre was last heard.
-	// It explains the orders that were noticed before.
-	claimHeardAt map[ids.DataCentreID]time.Time
 }
 
 // New returns the authority of a VM that has just started.
 func New(config Config, now time.Time) *Authority {
 	return &Authority{
-		config:     config,
-		started:    now,
-		ownFences:  make(map[ids.DataCentreID]ids.FencingToken),
-		peerClaims: make(map[ids.DataCentreID]map[ids.VMID]*peerClaim),
+		config:        config,
+		started:       now,
+		ownFences:     make(map[ids.DataCentreID]ids.FencingToken),
+		peerClaims:    make(map[ids.DataCentreID]map[ids.VMID]*peerClaim),
+		watchedSince:  make(map[ids.DataCentreID]time.Time),
+		foreignOrders: make(map[ids.DataCentreID]time.Time),
+		claimHeardAt:  make(map[ids.DataCentreID]time.Time),
 
 		contact:           newContact(config, now),
 		releasedClaims:    make(map[ids.DataCentreID]releasedClaim),
 		unconfirmedClaims: make(map[ids.DataCentreID]time.Time),
 		claimedAlone:      make(map[ids.DataCentreID]bool),
-		watchedSince:      make(map[ids.DataCentreID]time.Time),
-		foreignOrders:     make(map[ids.DataCentreID]time.Time),
-		claimHeardAt:      make(map[ids.DataCentreID]time.Time),
 	}
 }
 
@@ -286,14 +287,16 @@
 }
 
 // DropRefusedClaim gives up a claim whose fencing token an engine refused
-// because another VM has used a higher one. The next claim takes a token well
-// above the refused one.
-func (a *Authority) DropRefusedClaim(dc ids.DataCentreID) {
+// because another VM has used a higher one. That VM may be at work without
+// being heard, so the next claim waits as after an order of another VM. It takes
+// a token well above the refused one.
+func (a *Authority) DropRefusedClaim(now time.Time, dc ids.DataCentreID) {
 	fence, holds := a.ownFences[dc]
 	if !holds {
 		return
 	}
 	delete(a.ownFences, dc)
+	a.foreignOrders[dc] = now
 	a.highestFence = max(a.highestFence, fence+refusedFenceIncrement<<fenceSuffixBits)
 }
 
--- a/pkg/coordination/authority/authority_test.go
+++ b/pkg/coordination/authority/authority_test.go
@@ -220,14 +220,20 @@
 // is ahead.
 func TestRefusedTokenIsNeverUsedAgain(t *testing.T) {
 	v := newVM(0, start)
+	v.enginesCheckFences = true
+	v.restart(start)
 	now := start.Add(claimDelay + lease)
 	v.authority.Tick(now, now, false, []ids.DataCentreID{dc}, nil)
 	first, allowed := v.authority.Fence(now, dc)
 	assert.Assert(t, allowed)
-	v.authority.DropRefusedClaim(dc)
+	v.authority.DropRefusedClaim(now, dc)
 	_, allowed = v.authority.Fence(now, dc)
 	assert.Assert(t, !allowed)
 	v.authority.Tick(now, now.Add(-time.Hour), false, []ids.DataCentreID{dc}, nil)
+	_, allowed = v.authority.Fence(now, dc)
+	assert.Assert(t, !allowed, "claimed again within the lease")
+	now = now.Add(lease)
+	v.authority.Tick(now, now.Add(-time.Hour), false, []ids.DataCentreID{dc}, nil)
 	second, allowed := v.authority.Fence(now, dc)
 	assert.Assert(t, allowed)
 	assert.Assert(t, second > first)
--- a/pkg/coordination/authority/contact.go
+++ b/pkg/coordination/authority/contact.go
@@ -404,7 +404,10 @@
 // forbids: it has contact, or it has read the engines' reports for long enough
 // without a sign of another holder.
 func (a *Authority) watchCompleted(now, wallClock time.Time, dc ids.DataCentreID) bool {
-	if a.config.EnginesCheckFences || a.contact.held && !a.hasForeignOrders(now, dc) {
+	if a.config.EnginesCheckFences {
+		return a.fencedWatchCompleted(now, dc)
+	}
+	if a.contact.held && !a.hasForeignOrders(now, dc) {
 		return true
 	}
 	since, watched := a.watchedSince[dc]
@@ -415,27 +418,47 @@
 	return now.Sub(since) >= watchLeases*a.config.Lease && (a.contact.held || a.inStartSlot(wallClock))
 }
 
+// fencedWatchCompleted is watchCompleted where engines check fencing tokens. The
+// token of a new claim would displace a holder that this VM does not hear. A VM
+// that hears no other VM, or whose token was refused, therefore reads the
+// engines' reports, and claims once a lease has passed without orders of others.
+func (a *Authority) fencedWatchCompleted(now time.Time, dc ids.DataCentreID) bool {
+	foreign := a.hasForeignOrders(now, dc)
+	if !foreign && (a.heardFromPeer || now.Sub(a.started) < a.config.FirstClaimDelay) {
+		delete(a.watchedSince, dc)
+	} else if _, watched := a.watchedSince[dc]; !watched {
+		a.watchedSince[dc] = now
+	}
+	return !foreign
+}
+
 // hasForeignOrders reports whether an order of another VM was noticed recently
 // and no VM that claims the data centre was heard since.
 func (a *Authority) hasForeignOrders(now time.Time, dc ids.DataCentreID) bool {
 	noticedAt, noticed := a.foreignOrders[dc]
-	return noticed && noticedAt.After(a.claimHeardAt[dc]) && now.Sub(noticedAt) < foreignOrderLeases*a.config.Lease
+	return noticed && noticedAt.After(a.claimHeardAt[dc]) && now.Sub(noticedAt) < a.foreignOrderMemory()
 }
 
-// foreignOrderLeases is how many leases an order of another VM is remembered.
-// A VM that watches notices the next one earlier.
-const foreignOrderLeases = 2 * watchLeases
+// foreignOrderMemory returns how long an order of another VM is remembered. With
+// fences, a VM may claim afterwards. Without them, it has to watch, and notices
+// the next one earlier.
+func (a *Authority) foreignOrderMemory() time.Duration {
+	if a.config.EnginesCheckFences {
+		return a.config.Lease
+	}
+	return 2 * watchLeases * a.config.Lease
+}
 
 // Watched returns the data centres whose engines' reports this VM has to read
 // although it may not send them orders now.
 func (a *Authority) Watched(now time.Time) []ids.DataCentreID {
-	if a.config.EnginesCheckFences {
-		return nil
-	}
 	var watched []ids.DataCentreID
 	for dc := range a.watchedSince {
 		watched = append(watched, dc)
 	}
+	if a.config.EnginesCheckFences {
+		return watched
+	}
 	for dc := range a.ownFences {
 		if _, allowed := a.Fence(now, dc); !allowed {
 			watched = append(watched, dc)
@@ -446,12 +469,16 @@
 
 // ForeignOrderSeen records that an engine of a data centre has accepted an
 // order of another VM. It reports whether this VM gave up a claim. The next
-// claim needs a time without such orders.
+// claim needs a time without such orders. Engines that check fencing tokens
+// decide themselves whether a claim still holds.
 func (a *Authority) ForeignOrderSeen(now time.Time, dc ids.DataCentreID) bool {
+	_, held := a.ownFences[dc]
 	if a.config.EnginesCheckFences {
+		if !held {
+			a.foreignOrders[dc] = now
+		}
 		return false
 	}
-	_, held := a.ownFences[dc]
 	delete(a.ownFences, dc)
 	delete(a.watchedSince, dc)
 	a.foreignOrders[dc] = now
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -496,7 +496,7 @@
 // rejected the claim's fencing token.
 func (n *Node) dropFencedClaim(dc ids.DataCentreID) {
 	n.membersMu.Lock()
-	n.authority.DropRefusedClaim(dc)
+	n.authority.DropRefusedClaim(time.Now(), dc)
 	n.membersMu.Unlock()
 	n.logInfo("claim dropped: engine has seen a higher fencing token", fields{"dataCentre": dc})
 }
