node: serve what engines hold while a VM out of reach orders them

Cause: a VM without a claim has its adapters loaded by the holder. If it does not hear that holder, its requests searched for one until they were refused after a second, also for adapters that the engines held, and its table of the engines grew stale. Change: the VM takes what the engines hold from the reports that it reads while it makes no claim. Requests for other adapters are refused at once, with a time to come back, since another VM may have them loaded.

--- a/pkg/coordination/authority/contact.go
+++ b/pkg/coordination/authority/contact.go
@@ -449,6 +449,13 @@
 	return 2 * watchLeases * a.config.Lease
 }
 
+// OrderedByUnheardVM reports whether a VM that this one does not hear orders the
+// engines of a data centre, as far as their reports and refusals show.
+func (a *Authority) OrderedByUnheardVM(now time.Time, dc ids.DataCentreID) bool {
+	_, holds := a.ownFences[dc]
+	return !holds && a.hasForeignOrders(now, dc)
+}
+
 // Watched returns the data centres whose engines' reports this VM has to read
 // although it may not send them orders now.
 func (a *Authority) Watched(now time.Time) []ids.DataCentreID {
--- a/pkg/node/adapter_index.go
+++ b/pkg/node/adapter_index.go
@@ -161,6 +161,17 @@
 	r.replaceIfNewer(id, view)
 }
 
+// setObservedTable sets the table of an engine that a VM out of reach orders, as the
+// engine reports it. The next table of a later owner replaces it.
+func (r *adapterIndex) setObservedTable(id ids.EndpointID, view *engineView) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.engines[id]; old != nil {
+		view.fence = old.fence
+	}
+	r.replaceIfNewer(id, view)
+}
+
 // replaceIfNewer replaces an engine's view, unless the known one has a higher
 // fencing token and so comes from a later owner. The caller holds mu.
 func (r *adapterIndex) replaceIfNewer(id ids.EndpointID, view *engineView) {
--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -227,6 +227,20 @@
 	return n.balancer.Pick(now, endpoints, salt)
 }
 
+// orderable returns the engines that are not ordered by a VM that this one does not
+// hear, and so can't ask for a load.
+func (n *Node) orderable(now time.Time, endpoints []*serving.Endpoint) []*serving.Endpoint {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
+	var orderable []*serving.Endpoint
+	for _, e := range endpoints {
+		if !n.authority.OrderedByUnheardVM(now, e.DataCentre) {
+			orderable = append(orderable, e)
+		}
+	}
+	return orderable
+}
+
 // homeEngine returns the engine that should load an adapter that no engine
 // holds, chosen among those that hold its base model and can load it in time.
 // It returns nil if there is none.
@@ -271,7 +285,11 @@
 // ensureAtHomeEngine asks the owner of the adapter's home engine to load it. It
 // returns nil if the engines should be examined again.
 func (n *Node) ensureAtHomeEngine(ctx context.Context, p *requestState, endpoints []*serving.Endpoint, required ids.AdapterVersion, limit time.Time) *refusal {
-	homeEngine := n.homeEngine(time.Now(), p, endpoints)
+	orderable := n.orderable(time.Now(), endpoints)
+	if len(orderable) == 0 {
+		return refuseBusy(retryOtherVM, "engines are ordered by a VM out of reach")
+	}
+	homeEngine := n.homeEngine(time.Now(), p, orderable)
 	if homeEngine == nil && len(p.fullEngines) > 0 {
 		return refuseBusy(retryAfterBusy, "no adapter slot in time")
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -492,6 +492,12 @@
 	return n.authority.Fence(now, dc)
 }
 
+func (n *Node) orderedByUnheardVM(now time.Time, dc ids.DataCentreID) bool {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
+	return n.authority.OrderedByUnheardVM(now, dc)
+}
+
 // dropFencedClaim gives up the claim on a data centre after one of its engines
 // rejected the claim's fencing token.
 func (n *Node) dropFencedClaim(dc ids.DataCentreID) {
--- a/pkg/node/owner.go
+++ b/pkg/node/owner.go
@@ -469,15 +469,20 @@
 }
 
 // publish copies the changed tables into the VM's adapter index, from which
-// peers receive them. The caller holds mu.
+// peers receive those of owned engines. The caller holds mu.
 func (o *engineOwner) publish(now time.Time) {
 	for id, e := range o.engines {
-		if e.fence == 0 || !e.table.Known() || e.publishedVersion == e.table.ChangeCount()+1 {
+		if !e.table.Known() || e.publishedVersion == e.table.ChangeCount()+1 || e.fence == 0 && !o.node.orderedByUnheardVM(now, e.endpoint.DataCentre) {
 			continue
 		}
 		e.publishedVersion = e.table.ChangeCount() + 1
 		used, capacity := e.table.Slots(e.limits)
-		o.node.adapterIndex.setOwnTable(id, &engineView{fence: e.fence, freeSlots: capacity - used, models: e.table.Models(), held: e.table.Snapshot(now)})
+		view := &engineView{fence: e.fence, freeSlots: capacity - used, models: e.table.Models(), held: e.table.Snapshot(now)}
+		if e.fence == 0 {
+			o.node.adapterIndex.setObservedTable(id, view)
+		} else {
+			o.node.adapterIndex.setOwnTable(id, view)
+		}
 	}
 }
 
--- a/pkg/node/refusal.go
+++ b/pkg/node/refusal.go
@@ -28,8 +28,8 @@
 	// retryNoEndpoint is about the time until an endpoint becomes visible
 	// again.
 	retryNoEndpoint = 500 * time.Millisecond
-	// retryOtherVM is sent by a VM that shuts down: the caller's next connection
-	// reaches another VM.
+	// retryOtherVM is sent by a VM that shuts down, or that cannot have an adapter
+	// loaded: the caller's next connection reaches another VM.
 	retryOtherVM = 50 * time.Millisecond
 )
 
