callermemory: slow requests give way to new connections

Cause: only callers without progress for a second gave way. Bodies that grow by 1 KB a second make progress, so that all places stayed taken and new connections were closed unread. Change: when no place is free and nobody stalls, the request with the lowest mean rate that has been arriving for a second or more gives way, of the sender with most of them. Tests: TestSlowBodiesGiveWayToNewConnections and TestSlowBodiesGiveWayToTheirOwnSendersSeldom failed before (no connection admitted). TestSlowBodiesKeepTheirPlacesInCalm passed before.

--- a/pkg/coordination/callermemory/callermemory.go
+++ b/pkg/coordination/callermemory/callermemory.go
@@ -1,6 +1,7 @@
 // Package callermemory keeps the account of the memory and the connections that callers
 // make a VM hold, and decides which callers are evicted when there is no room: those
-// that make no progress, first those of the sender that holds most. The package is
+// that make no progress, first those of the sender that holds most, and for a new
+// connection the slowest request of the sender that holds most. The package is
 // deterministic: time is an argument, and it closes nothing itself.
 package callermemory
 
@@ -142,7 +143,9 @@
 type connection struct {
 	id     ID
 	sender string
-	phase  Phase
+	// address is the sender that the connection was opened with.
+	address string
+	phase   Phase
 	// charge and body are what the connection and its body are counted with, and
 	// unreleased is what its body still holds after it was named to be closed.
 	charge, body, unreleased int64
@@ -176,6 +179,10 @@
 	// scanAfter is when a sender to evict is looked for again, by what needs room:
 	// one that is of use to a connection may be of none to a large body.
 	scanAfter [needs]time.Time
+	// byAddress counts the open connections of each address, and crowdAfter is when a slow
+	// request gives way to another connection of an address that holds most.
+	byAddress  map[string]int
+	crowdAfter time.Time
 }
 
 // need is what needs room.
@@ -190,7 +197,7 @@
 
 // New returns an empty account.
 func New(config Config) *Account {
-	return &Account{config: config, connections: make(map[ID]*connection)}
+	return &Account{config: config, connections: make(map[ID]*connection), byAddress: make(map[string]int)}
 }
 
 // SetIdleTimeout sets how long a sender may pause in calm.
@@ -220,13 +227,17 @@
 	fits := func(spare float64) bool { return a.fitsConnection(charge, spare) }
 	if !fits(0) {
 		closed = a.makeRoom(now, needConnection, fits, func(*connection) bool { return true })
+		if !fits(0) {
+			closed = append(closed, a.evictSlowest(now, sender)...)
+		}
 		if !fits(0) {
 			return false, closed
 		}
 	}
-	a.connections[id] = &connection{id: id, sender: sender, phase: Idle, charge: charge, lastByte: now, progressAt: now}
+	a.connections[id] = &connection{id: id, sender: sender, address: sender, phase: Idle, charge: charge, lastByte: now, progressAt: now, phaseAt: now}
 	a.connection += charge
 	a.open++
+	a.byAddress[sender]++
 	return true, closed
 }
 
@@ -284,6 +295,7 @@
 		// was not closed in time goes on.
 		c.reason = ""
 		a.open++
+		a.byAddress[c.address]++
 		a.closing--
 	}
 	if c.phase != phase {
@@ -423,7 +435,7 @@
 		delete(a.connections, id)
 		return
 	}
-	a.open--
+	a.leave(c)
 	a.connection -= c.charge
 	c.charge, c.gone = 0, true
 	if c.body == 0 {
@@ -603,13 +615,63 @@
 	return groups
 }
 
+// leave counts a connection as no longer open.
+func (a *Account) leave(c *connection) {
+	a.open--
+	if a.byAddress[c.address]--; a.byAddress[c.address] == 0 {
+		delete(a.byAddress, c.address)
+	}
+}
+
+// crowdShare is the share of the open connections from which an address counts as a crowd.
+const crowdShare = 0.5
+
+// evictSlowest names the slowest request that has been arriving for FullPause, of the
+// sender with most of them, to make room for a connection from an address. Connections of
+// an address that holds most of them take each other's places only once in RetryScan.
+func (a *Account) evictSlowest(now time.Time, address string) []Closed {
+	if float64(a.byAddress[address]) >= crowdShare*float64(a.open) {
+		if now.Before(a.crowdAfter) {
+			return nil
+		}
+		a.crowdAfter = now.Add(a.config.RetryScan)
+	}
+	counts := make(map[string]int)
+	slowest := make(map[string]*connection)
+	for _, c := range a.connections {
+		if c.reason != "" || c.gone || c.phase != Head && c.phase != Body || now.Sub(c.phaseAt) < a.config.FullPause {
+			continue
+		}
+		counts[c.sender]++
+		if other := slowest[c.sender]; other == nil || c.slowerThan(other, now) {
+			slowest[c.sender] = c
+		}
+	}
+	var largest string
+	for sender, count := range counts {
+		if largest == "" || count > counts[largest] || count == counts[largest] && sender < largest {
+			largest = sender
+		}
+	}
+	if largest == "" {
+		return nil
+	}
+	return []Closed{a.close(slowest[largest], NoRoom)}
+}
+
+// slowerThan compares the mean rates at which two requests arrive.
+func (c *connection) slowerThan(other *connection, now time.Time) bool {
+	rate := func(c *connection) float64 { return float64(c.phaseBytes) / now.Sub(c.phaseAt).Seconds() }
+	return cmp.Or(cmp.Compare(rate(c), rate(other)), cmp.Compare(c.id, other.id)) < 0
+}
+
 // close names a connection and gives its memory back, of which that of a body is held until
 // it is released. Its descriptor counts until End.
 func (a *Account) close(c *connection, reason Reason) Closed {
 	closed := Closed{ID: c.id, Phase: c.phase, Reason: reason, Sender: c.sender, Bytes: c.charge + c.body}
 	a.connection -= c.charge
 	a.body -= c.body
-	a.open--
+	a.leave(c)
 	a.closing++
 	a.unreleased += c.body
 	c.reason, c.charge, c.body, c.unreleased = reason, 0, 0, c.body
--- a/pkg/coordination/callermemory/callermemory_test.go
+++ b/pkg/coordination/callermemory/callermemory_test.go
@@ -364,3 +364,106 @@
 	reserved, _ := a.Reserve(startTime, 1, 64*kilobyte, 500*kilobyte)
 	assert.Assert(t, reserved)
 }
+
+// slowCrowd fills an account with bodies of one customer from one address, each of which
+// grows by 1,200 bytes every 800 ms.
+func slowCrowd(t *testing.T, a *callermemory.Account, count int) (grow func(now time.Time)) {
+	t.Helper()
+	for id := range count {
+		admitted, _ := a.Open(startTime, callermemory.ID(id+1), "address crowd")
+		assert.Assert(t, admitted, id)
+		a.SetPhase(startTime, callermemory.ID(id+1), callermemory.Body)
+		a.SetSender(callermemory.ID(id+1), "customer crowd")
+	}
+	return func(now time.Time) {
+		for id := range count {
+			a.Received(now, callermemory.ID(id+1), 1200)
+			a.Reserve(now, callermemory.ID(id+1), 1200, 200*kilobyte)
+		}
+	}
+}
+
+// Load: as many slow bodies as there are places, none of which pauses for long, and ten
+// ordinary callers that connect four times a second. Guards against a VM that is ready and
+// takes no new connection, and against ordinary callers that give way for one another.
+func TestSlowBodiesGiveWayToNewConnections(t *testing.T) {
+	config := callermemory.DefaultConfig(memory, 800)
+	a := callermemory.New(config)
+	grow := slowCrowd(t, a, config.MaxConnections)
+	id := callermemory.ID(10_000)
+	for step := range 200 {
+		now := startTime.Add(time.Duration(step) * 100 * time.Millisecond)
+		if step%8 == 0 {
+			grow(now)
+		}
+		assert.Equal(t, len(a.Expired(now)), 0)
+		if step < 12 || step%5 != 0 {
+			continue
+		}
+		for range 5 {
+			id++
+			admitted, closed := a.Open(now, id, "address ordinary")
+			assert.Assert(t, admitted, "step %d", step)
+			assert.Assert(t, len(closed) <= 1, "%d closed for one connection", len(closed))
+			for _, c := range closed {
+				assert.Equal(t, c.Sender, "customer crowd")
+				assert.Equal(t, c.Phase, callermemory.Body)
+				a.End(c.ID)
+			}
+			a.SetPhase(now, id, callermemory.Serving)
+		}
+		for served := id - 4; served <= id; served++ {
+			a.End(served)
+		}
+		assert.Assert(t, a.Usage().Connections <= config.MaxConnections)
+	}
+}
+
+// Load: as many slow bodies as there are places, and more connections of their senders.
+// Guards against senders that take each other's places without end, and against one that
+// can get none at all.
+func TestSlowBodiesGiveWayToTheirOwnSendersSeldom(t *testing.T) {
+	config := callermemory.DefaultConfig(memory, 800)
+	a := callermemory.New(config)
+	grow := slowCrowd(t, a, config.MaxConnections)
+	id, admissions := callermemory.ID(10_000), 0
+	var slow []callermemory.ID
+	for step := range 1000 {
+		now := startTime.Add(time.Duration(step) * 10 * time.Millisecond)
+		if step%80 == 0 {
+			grow(now)
+		}
+		for range 5 {
+			id++
+			admitted, closed := a.Open(now, id, "address crowd")
+			for _, c := range closed {
+				a.End(c.ID)
+			}
+			if admitted {
+				admissions++
+				a.SetPhase(now, id, callermemory.Body)
+				slow = append(slow, id)
+			}
+		}
+		if step%80 == 0 {
+			for _, id := range slow {
+				a.Received(now, id, 1200)
+			}
+		}
+	}
+	assert.Assert(t, admissions > 50 && admissions < 500, "%d admissions in 10 s", admissions)
+}
+
+// Guards against a body that is given up although there are places.
+func TestSlowBodiesKeepTheirPlacesInCalm(t *testing.T) {
+	config := callermemory.DefaultConfig(memory, 800)
+	a := callermemory.New(config)
+	grow := slowCrowd(t, a, config.MaxConnections/2)
+	for step := range 100 {
+		now := startTime.Add(time.Duration(step) * 800 * time.Millisecond)
+		grow(now)
+		admitted, closed := a.Open(now, callermemory.ID(10_000+step), "address ordinary")
+		assert.Assert(t, admitted && len(closed) == 0 && len(a.Expired(now)) == 0)
+		a.End(callermemory.ID(10_000 + step))
+	}
+}
