callermemory: count the lines of a head, and close heads that do not fit

Cause: a head counted with three times its bytes, while net/http holds some 100 bytes for a header of five, and each send a copy. And what heads counted for was added without a look at the bound, which stopped new connections only. A head that counts for more than 16 KB beyond its connection is closed unread if it does not fit. The socket is closed with that read, since net/http reads on after an error, answers 400 and waits for 10 s.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 # Tests of resident memory or waiting times run one at a time, after all others: beside
 # the tests of all packages, an ordinary request got no answer within 40 s.
 APART = --apart "./platform TestBurstOfLargeBodiesIsAnswered" --apart "./platform TestUntrustedCallersLeaveRoom" \
-	--apart "./platform TestBodiesOfClosedCallersAreNotParsed" --apart "./platform TestWholeBodiesOfWaitingCallersAreServed"
+	--apart "./platform TestBodiesOfClosedCallersAreNotParsed" --apart "./platform TestWholeBodiesOfWaitingCallersAreServed" \
+	--apart "./platform TestHeadsOfManyLinesStayWithinMemory"
 
 demo: build
 	./bin/wagtailctl demo
--- a/pkg/coordination/callermemory/callermemory.go
+++ b/pkg/coordination/callermemory/callermemory.go
@@ -25,8 +25,9 @@
 	// MaxConnections bounds the open connections; 0 means no bound.
 	MaxConnections int
 	// IdleCharge is counted for each connection, RequestCharge in addition while a
-	// request is read or served, and HeadFactor for each byte of a head.
-	IdleCharge, RequestCharge, HeadFactor int64
+	// request is read or served, and HeadFactor for each byte and LineCharge for each line
+	// of a head.
+	IdleCharge, RequestCharge, HeadFactor, LineCharge int64
 	// ProgressBytes is what must arrive to count as progress.
 	ProgressBytes int64
 	// FreeReadBytes is what is parsed of a request before it has to take turns with others.
@@ -81,7 +82,7 @@
 	return Config{
 		MemoryBytes: share(memoryShare), BodyBytes: share(bodyShare), ConnectionBytes: share(connectionShare),
 		LargeBodyBytes: 256 << 10, SmallBodyShare: 0.25, MaxConnections: connections,
-		IdleCharge: 16 << 10, RequestCharge: 16 << 10, HeadFactor: 3,
+		IdleCharge: 16 << 10, RequestCharge: 16 << 10, HeadFactor: 3, LineCharge: 256,
 		ProgressBytes: 1 << 10, FreeReadBytes: 16 << 10, CalmFullness: 0.5, IdleTimeout: 15 * time.Second, FullPause: time.Second,
 		ProcessBytes: share(processShare), HeadTimeout: 10 * time.Second, MinAnswerPause: 5 * time.Second, SpareShare: 1.0 / 32, RetryScan: 50 * time.Millisecond,
 	}
@@ -190,6 +191,7 @@
 
 const (
 	needConnection need = iota
+	needHead
 	needSmallBody
 	needLargeBody
 	needs
@@ -241,11 +243,12 @@
 	return true, closed
 }
 
-// Received records bytes that have arrived, or were taken of an answer.
-func (a *Account) Received(now time.Time, id ID, bytes int) {
+// Received records bytes that have arrived, and the number of line ends in them. It reports false if there is no room for a long head, whose
+// connection is to be closed then.
+func (a *Account) Received(now time.Time, id ID, bytes, lines int) (kept bool, closed []Closed) {
 	c := a.connections[id]
 	if c == nil || c.reason != "" {
-		return
+		return true, nil
 	}
 	if c.phase == Idle {
 		a.setPhase(now, c, Head)
@@ -255,11 +258,21 @@
 	if c.received += int64(bytes); c.received >= a.config.ProgressBytes {
 		c.received, c.progressAt = 0, now
 	}
-	if c.phase == Head {
-		added := a.config.HeadFactor * int64(bytes)
-		c.charge += added
-		a.connection += added
+	if c.phase != Head {
+		return true, nil
+	}
+	added := a.config.HeadFactor*int64(bytes) + a.config.LineCharge*int64(lines)
+	c.charge += added
+	a.connection += added
+	// What ordinary heads need is small beside the charge of their connections.
+	if c.charge <= a.config.IdleCharge+2*a.config.RequestCharge || a.fitsHead(0, 0) {
+		return true, nil
+	}
+	closed = a.makeRoom(now, needHead, func(spare float64) bool { return a.fitsHead(0, spare) }, func(other *connection) bool { return other != c })
+	if !a.fitsHead(0, 0) {
+		return false, append(closed, a.close(c, NoRoom))
 	}
+	return true, closed
 }
 
 // NeedsTurn reports whether what a connection has received is parsed in turns with others,
@@ -540,12 +553,17 @@
 	return a.body+part <= without(a.bodyLimit(total), spare) && a.fitsMemory(part, spare)
 }
 
+// fitsHead reports whether more bytes of connections and heads fit.
+func (a *Account) fitsHead(bytes int64, spare float64) bool {
+	return a.connection+bytes <= without(a.config.ConnectionBytes, spare) && a.fitsMemory(bytes, spare)
+}
+
 // closingShare is the share of MaxConnections by which connections that are being closed
 // may exceed it: one that was given up sends its refusal for up to half a second.
 const closingShare = 0.25
 
 func (a *Account) fitsConnection(charge int64, spare float64) bool {
-	if a.connection+charge > without(a.config.ConnectionBytes, spare) || !a.fitsMemory(charge, spare) {
+	if !a.fitsHead(charge, spare) {
 		return false
 	}
 	limit := int64(a.config.MaxConnections)
--- a/pkg/coordination/callermemory/callermemory_test.go
+++ b/pkg/coordination/callermemory/callermemory_test.go
@@ -22,7 +22,7 @@
 	assert.Assert(t, a.SetPhase(now, id, callermemory.Body))
 	const piece = 16 * kilobyte
 	for held := int64(0); held < bytes; held += piece {
-		a.Received(now, id, piece)
+		a.Received(now, id, piece, 0)
 		if reserved, _ := a.Reserve(now, id, piece, held+piece); !reserved {
 			return false
 		}
@@ -67,7 +67,7 @@
 	for range 20 {
 		now = now.Add(15 * time.Second)
 		assert.Equal(t, len(a.Expired(now)), 0)
-		a.Received(now, 1, 1)
+		a.Received(now, 1, 1, 0)
 	}
 	closed := a.Expired(now.Add(17 * time.Second))
 	assert.Equal(t, len(closed), 1)
@@ -86,7 +86,7 @@
 		}
 		a.SetPhase(startTime, 1, callermemory.Serving)
 		for now := startTime; ; now = now.Add(100 * time.Millisecond) {
-			a.Received(now, 2, 1)
+			a.Received(now, 2, 1, 0)
 			for _, c := range a.Expired(now) {
 				assert.Assert(t, c.ID != 1, "a request that is served was closed")
 				if c.ID == 2 {
@@ -132,7 +132,7 @@
 	for range 5 {
 		now = now.Add(15 * time.Second)
 		assert.Equal(t, len(a.Expired(now)), 0)
-		a.Received(now, 2, 1)
+		a.Received(now, 2, 1, 0)
 	}
 	closed := a.Expired(now.Add(17 * time.Second))
 	assert.Equal(t, len(closed), 1)
@@ -151,7 +151,7 @@
 	now := startTime.Add(2 * time.Second)
 	_, closed := a.Open(now, 1000, "new")
 	assert.Assert(t, len(closed) > 0 && closed[0].Phase == callermemory.Idle)
-	a.Received(now, closed[0].ID, 100)
+	a.Received(now, closed[0].ID, 100, 0)
 	assert.Assert(t, a.SetPhase(now, closed[0].ID, callermemory.Serving))
 	for id := range config.MaxConnections {
 		a.End(callermemory.ID(id + 1))
@@ -186,7 +186,7 @@
 			delete(held, id)
 		default:
 			a.SetPhase(now, id, callermemory.Phase(rng.IntN(5)))
-			a.Received(now, id, rng.IntN(3000))
+			a.Received(now, id, rng.IntN(3000), 0)
 			part := int64(rng.IntN(600 * kilobyte))
 			if reserved, _ := a.Reserve(now, id, part, held[id]+part); reserved {
 				held[id] += part
@@ -286,7 +286,7 @@
 		}
 		assert.Equal(t, len(closed), 0)
 		assert.Assert(t, a.SetPhase(startTime, id, callermemory.Discarding))
-		a.Received(startTime, id, kilobyte)
+		a.Received(startTime, id, kilobyte, 0)
 		if id == 100 {
 			assert.Equal(t, a.DiscardShare(), 1.0)
 		}
@@ -320,7 +320,7 @@
 	now := startTime.Add(10 * time.Second)
 	assert.Equal(t, len(a.Expired(now)), 0)
 	for range 30 {
-		a.Received(now, 1, 1)
+		a.Received(now, 1, 1, 0)
 		assert.Equal(t, len(a.Expired(now)), 0)
 		now = now.Add(100 * time.Millisecond)
 	}
@@ -377,7 +377,7 @@
 	}
 	return func(now time.Time) {
 		for id := range count {
-			a.Received(now, callermemory.ID(id+1), 1200)
+			a.Received(now, callermemory.ID(id+1), 1200, 0)
 			a.Reserve(now, callermemory.ID(id+1), 1200, 200*kilobyte)
 		}
 	}
@@ -447,7 +447,7 @@
 		}
 		if step%80 == 0 {
 			for _, id := range slow {
-				a.Received(now, id, 1200)
+				a.Received(now, id, 1200, 0)
 			}
 		}
 	}
@@ -467,3 +467,45 @@
 		a.End(callermemory.ID(10_000 + step))
 	}
 }
+
+// Load: 400 connections that send heads of 16 KB with 2,600 lines, and ordinary callers.
+// Guards against heads that hold many times the memory that is counted for them, and
+// against ordinary heads that are turned away with them.
+func TestHeadsOfManyLinesAreBounded(t *testing.T) {
+	config := callermemory.DefaultConfig(memory, 2000)
+	a := callermemory.New(config)
+	const crowd, pieces, ordinary = 400, 4, 1000
+	kept := 0
+	for id := range callermemory.ID(5) {
+		admitted, _ := a.Open(startTime, ordinary+id, "ordinary")
+		assert.Assert(t, admitted)
+	}
+	for id := range callermemory.ID(crowd) {
+		admitted, _ := a.Open(startTime, id+1, "crowd")
+		assert.Assert(t, admitted)
+	}
+	for id := range callermemory.ID(crowd) {
+		whole := true
+		for range pieces {
+			received, closed := a.Received(startTime, id+1, 4000, 650)
+			assert.Equal(t, received, len(closed) == 0)
+			if whole = whole && received; !whole {
+				assert.Equal(t, closed[0].ID, id+1)
+				a.End(id + 1)
+				break
+			}
+		}
+		if whole {
+			kept++
+			assert.Assert(t, a.SetPhase(startTime, id+1, callermemory.Serving))
+		}
+	}
+	const headBytes = 700 * kilobyte
+	assert.Assert(t, kept > 0 && int64(kept) <= config.ConnectionBytes/headBytes, "%d heads are held", kept)
+	assert.Assert(t, a.Usage().ConnectionBytes <= config.ConnectionBytes)
+	// Ordinary connections that are open already are not turned away.
+	for id := range callermemory.ID(5) {
+		received, closed := a.Received(startTime, ordinary+id, 1000, 15)
+		assert.Assert(t, received && len(closed) == 0)
+	}
+}
--- a/pkg/node/caller_account.go
+++ b/pkg/node/caller_account.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -8,6 +9,7 @@
 	"os"
 	"runtime"
 	runtimemetrics "runtime/metrics"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,11 +79,26 @@
 	return admitted
 }
 
-// Moved implements connections.Observer.
-func (c *callerAccount) Moved(id connections.ID, bytes int) {
+// Received implements connections.Observer.
+func (c *callerAccount) Received(id connections.ID, data []byte) bool {
+	lines := bytes.Count(data, []byte{'\n'})
+	c.mu.Lock()
+	kept, closed := c.account.Received(time.Now(), callermemory.ID(id), len(data), lines)
+	c.count(closed)
+	c.mu.Unlock()
+	// The server closes this connection itself. The others must not be closed by a call
+	// that this connection waits for.
+	if others := slices.DeleteFunc(closed, func(other callermemory.Closed) bool { return connections.ID(other.ID) == id }); len(others) > 0 {
+		go c.close(others)
+	}
+	return kept
+}
+
+// Sent implements connections.Observer.
+func (c *callerAccount) Sent(id connections.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.account.Received(time.Now(), callermemory.ID(id), bytes)
+	c.account.Taken(time.Now(), callermemory.ID(id))
 }
 
 // noWait is the channel of turns that are granted at once.
--- a/pkg/node/caller_account_test.go
+++ b/pkg/node/caller_account_test.go
@@ -69,11 +69,11 @@
 	channels := make(map[connections.ID]<-chan struct{})
 	open := func(id connections.ID) {
 		assert.Assert(t, account.Opened(id, &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}))
-		account.Moved(id, 4<<10)
+		account.Received(id, make([]byte, 4<<10))
 		assert.Assert(t, account.BeginTurn(id) == nil, "a short request waits")
 		account.Changed(id, connections.Handled)
 		account.beginBody(id, "customer-1", time.Second)
-		account.Moved(id, 20<<10)
+		account.Received(id, make([]byte, 20<<10))
 		channels[id] = account.BeginTurn(id)
 	}
 	granted := func(id connections.ID) bool {
--- a/pkg/transport/connections/connections.go
+++ b/pkg/transport/connections/connections.go
@@ -49,8 +49,11 @@
 	// Opened is called for each new connection. If it returns false, the connection is
 	// closed unread.
 	Opened(id ID, remote net.Addr) bool
-	// Moved is called when bytes have arrived, or were taken by the client.
-	Moved(id ID, bytes int)
+	// Received is called when bytes have arrived. They are only handed on if it returns
+	// true.
+	Received(id ID, data []byte) bool
+	// Sent is called when bytes were taken by the client.
+	Sent(id ID)
 	// Changed is called when the state changes. A request is only handled if it
 	// returns true.
 	Changed(id ID, state State) bool
@@ -166,31 +169,42 @@
 		c.set.observer.EndTurn(c.id)
 	}
 	count, err := c.TCPConn.Read(buffer)
-	if !c.recordRead(count) {
-		return 0, net.ErrClosed
+	if !c.recordRead(buffer[:count]) {
+		return 0, c.readError(net.ErrClosed)
 	}
 	if count > 0 && c.set.observer != nil {
 		if turnErr := c.waitForTurn(); turnErr != nil {
-			return 0, turnErr
+			return 0, c.readError(turnErr)
 		}
 	}
 	return count, err
 }
 
+// readError returns an error that the server takes for one of the connection. To others,
+// it answers with status 400.
+func (c *connection) readError(err error) error {
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
 // recordRead reports whether the result of a read is handed on.
-func (c *connection) recordRead(count int) bool {
+func (c *connection) recordRead(data []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return false
 	}
-	if count > 0 {
-		c.idleSince = time.Time{}
-		if c.set.observer != nil {
-			c.set.observer.Moved(c.id, count)
-		}
+	if len(data) == 0 {
+		return true
 	}
-	return true
+	c.idleSince = time.Time{}
+	if c.set.observer == nil || c.set.observer.Received(c.id, data) {
+		return true
+	}
+	// A server that reads on after an error would take what follows for the rest of the
+	// head. Its own Close reports errors.
+	c.closed = true
+	_ = c.TCPConn.Close()
+	return false
 }
 
 // errClientClosed is the result of a read of a long request whose client has closed its
@@ -236,7 +250,7 @@
 		if err != nil || written == len(data) {
 			return written, err
 		}
-		observer.Moved(c.id, count)
+		observer.Sent(c.id)
 	}
 }
 
