node: refuse names of models that no store can hold

Cause: nothing bounded a name, which goes into the messages to each peer, the owners' use counts and the log, and outlives its request there. Change: on routes to engines, a name of more than 200 bytes, the longest that a key of the platform's store can hold, is refused with 404 and kept nowhere. Other services get the header as it is.

--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -135,6 +135,9 @@
 	if refused := n.authenticate(view, p, call.Key); refused != nil {
 		return refused
 	}
+	if p.request.Service.Engine != nil && hasLongModelName(call) {
+		return refuseStatus(http.StatusNotFound, "no model has so long a name")
+	}
 	p.setDeadline(call.TimeLeft)
 	if end := n.drainEnd.Load(); end != nil && p.request.Deadline.After(*end) {
 		return refuseBusy(retryOtherVM, "the VM shuts down")
@@ -148,9 +151,20 @@
 	return n.chargeCustomer(time.Now(), p, call)
 }
 
+// maxModelNameBytes bounds the name of a model or adapter as a caller states it. Names
+// are sent to peers several times a second and kept for some time after their requests.
+// The keys of the platform's store, which hold them, are not longer.
+const maxModelNameBytes = 200
+
+func hasLongModelName(call Call) bool {
+	return len(call.Model)+len("/")+len(call.Adapter) > maxModelNameBytes
+}
+
 func (p *requestState) setCall(call Call) {
 	p.key = call.Key
-	p.request.Model, p.request.Adapter = call.Model, call.Adapter
+	if !hasLongModelName(call) {
+		p.request.Model, p.request.Adapter = call.Model, call.Adapter
+	}
 	p.request.PromptTokens, p.request.MaxOutputTokens = call.PromptTokens, call.MaxOutputTokens
 	p.request.SharedParts = call.SharedParts
 	p.request.ResumeAfter = call.ResumeAfter
