--- a/pkg/coordination/callermemory/callermemory.go
+++ b/pkg/coordination/callermemory/callermemory.go
@@ -243,8 +243,8 @@
 	return true, closed
 }
 
-// Received records bytes that have arrived, and the number of line ends in them. It reports false if there is no room for a long head, whose
-// connection is to be closed then.
+// Received records bytes that have arrived, and the number of line ends in them. It reports
+// false if there is no room for a long head, whose connection is to be closed then.
 func (a *Account) Received(now time.Time, id ID, bytes, lines int) (kept bool, closed []Closed) {
 	c := a.connections[id]
 	if c == nil || c.reason != "" {
