authority: a VM that no longer hears its peers leaves engines to their holder

A VM that had heard a peer once claimed a lease after the last one fell silent, also while one of them ordered the engine, and with the wait after a refusal the many would then have given way to the one. Change: a VM that hears no other one, since its start or no longer, reads the engines' reports and claims once a lease has passed without orders of others. Test: TestVMThatLosesItsPeersLeavesTheEngineToItsHolder failed before (claimed 3 s after the peer was heard).

--- a/pkg/coordination/authority/authority.go
+++ b/pkg/coordination/authority/authority.go
@@ -335,7 +335,7 @@
 			continue
 		}
 		ended := a.allOtherClaimsEnded(dc, candidates, now)
-		if watched := a.watchCompleted(now, wallClock, dc); !ended || !watched {
+		if watched := a.watchCompleted(now, wallClock, dc, len(candidates) > 0); !ended || !watched {
 			continue
 		}
 		a.ownFences[dc] = a.nextFence(wallClock)
--- a/pkg/coordination/authority/contact.go
+++ b/pkg/coordination/authority/contact.go
@@ -403,9 +403,9 @@
 // watchCompleted reports whether this VM may make a claim that nothing else
 // forbids: it has contact, or it has read the engines' reports for long enough
 // without a sign of another holder.
-func (a *Authority) watchCompleted(now, wallClock time.Time, dc ids.DataCentreID) bool {
+func (a *Authority) watchCompleted(now, wallClock time.Time, dc ids.DataCentreID, hearsOthers bool) bool {
 	if a.config.EnginesCheckFences {
-		return a.fencedWatchCompleted(now, dc)
+		return a.fencedWatchCompleted(now, dc, hearsOthers)
 	}
 	if a.contact.held && !a.hasForeignOrders(now, dc) {
 		return true
@@ -422,9 +422,9 @@
 // token of a new claim would displace a holder that this VM does not hear. A VM
 // that hears no other VM, or whose token was refused, therefore reads the
 // engines' reports, and claims once a lease has passed without orders of others.
-func (a *Authority) fencedWatchCompleted(now time.Time, dc ids.DataCentreID) bool {
+func (a *Authority) fencedWatchCompleted(now time.Time, dc ids.DataCentreID, hearsOthers bool) bool {
 	foreign := a.hasForeignOrders(now, dc)
-	if !foreign && (a.heardFromPeer || now.Sub(a.started) < a.config.FirstClaimDelay) {
+	if !foreign && (hearsOthers || now.Sub(a.started) < a.config.FirstClaimDelay) {
 		delete(a.watchedSince, dc)
 	} else if _, watched := a.watchedSince[dc]; !watched {
 		a.watchedSince[dc] = now
--- a/pkg/coordination/authority/fenced_test.go
+++ b/pkg/coordination/authority/fenced_test.go
@@ -193,3 +193,36 @@
 	_, allowed = v.authority.Fence(now, dc)
 	assert.Assert(t, allowed)
 }
+
+// Guards against a VM that no longer hears the others, of which one still orders the
+// engine, and takes it from that one: the others may be as many as they were.
+func TestVMThatLosesItsPeersLeavesTheEngineToItsHolder(t *testing.T) {
+	v := newVM(0, start)
+	v.enginesCheckFences = true
+	v.restart(start)
+	now := start.Add(claimDelay)
+	claim := []authority.Claim{{DataCentre: dc, Fence: 1 << 40}}
+	peer := []authority.Candidate{{ID: "peer", DataCentre: dc, Boot: "boot", Started: start}}
+	for range 20 {
+		now = now.Add(fencedTick)
+		v.authority.ApplyClaims(now, "peer", "boot", claim)
+		v.authority.Tick(now, now, false, []ids.DataCentreID{dc}, peer)
+	}
+	// The engine's reports show the peer's orders for a while.
+	lost, seenAt := now, now
+	for step := 0; now.Add(fencedTick).Before(seenAt.Add(lease)); step++ {
+		now = now.Add(fencedTick)
+		v.authority.Tick(now, now, false, []ids.DataCentreID{dc}, nil)
+		_, allowed := v.authority.Fence(now, dc)
+		assert.Assert(t, !allowed, "claimed %v after the peer was heard", now.Sub(lost))
+		if step%fencedReportTicks == 0 && now.Sub(lost) < 4*lease && slices.Contains(v.authority.Watched(now), dc) {
+			v.authority.ForeignOrderSeen(now, dc)
+			seenAt = now
+		}
+	}
+	assert.Assert(t, now.Sub(lost) > 4*lease)
+	now = now.Add(lease)
+	v.authority.Tick(now, now, false, []ids.DataCentreID{dc}, nil)
+	_, allowed := v.authority.Fence(now, dc)
+	assert.Assert(t, allowed)
+}
