node: lines behind a head are not lines of it

Cause: what arrived in one read with a head counted as its lines. A body in chunks of one byte counted 350 KB more than it holds, and other callers with whole requests were closed for lack of room. Change: only lines before the end of the head count. Tests: TestChunksBehindAHeadAreNoLinesOfIt failed before.

--- a/pkg/node/caller_account.go
+++ b/pkg/node/caller_account.go
@@ -79,10 +79,18 @@
 	return admitted
 }
 
+// headEnd ends a head. What arrives with it is a part of a body, or of another request.
+var headEnd = []byte("\r\n\r\n")
+
 // Received implements connections.Observer.
 func (c *callerAccount) Received(id connections.ID, data []byte) bool {
-	lines := bytes.Count(data, []byte{'\n'})
+	head := data
+	if end := bytes.Index(data, headEnd); end >= 0 {
+		head = data[:end]
+	}
+	lines := bytes.Count(head, headEnd[1:2])
 	c.mu.Lock()
+	c.measure()
 	kept, closed := c.account.Received(time.Now(), callermemory.ID(id), len(data), lines)
 	c.count(closed)
 	c.mu.Unlock()
--- a/pkg/node/caller_account_test.go
+++ b/pkg/node/caller_account_test.go
@@ -108,3 +108,16 @@
 	open(1000)
 	assert.Assert(t, granted(1000))
 }
+
+// Guards against a body in small chunks whose beginning arrives with the head and counts as
+// lines of it, so that whole requests of other callers find no room.
+func TestChunksBehindAHeadAreNoLinesOfIt(t *testing.T) {
+	account := newCallerAccount(64<<20, 800)
+	account.set = connections.NewObserved(account)
+	assert.Assert(t, account.Opened(1, &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}))
+	before := account.usage().ConnectionBytes
+	head := "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	assert.Assert(t, account.Received(1, []byte(head+strings.Repeat("1\r\nx\r\n", 600))))
+	added := account.usage().ConnectionBytes - before
+	assert.Assert(t, added <= 16<<10, "%d bytes", added)
+}
