callermemory: count heads on connections that were to be closed while idle

Cause: an idle connection that gives way is closed only while no request arrives. If its request came first, the head was not counted, since the connection was still named to be closed, and was served all the same. Change: the connection is taken back when bytes arrive, and its head counts like any other. Tests: TestHeadOnAConnectionThatGivesWayIsCounted failed before.

--- a/pkg/coordination/callermemory/callermemory.go
+++ b/pkg/coordination/callermemory/callermemory.go
@@ -19,8 +19,8 @@
 	// A body of more than LargeBodyBytes may not use the last SmallBodyShare of BodyBytes.
 	LargeBodyBytes int64
 	SmallBodyShare float64
-	// ProcessBytes is the measured memory of the process from which large bodies do not
-	// grow and no connection is added; 0 means no bound.
+	// ProcessBytes is the measured memory of the process from which large bodies and long
+	// heads do not grow and no connection is added; 0 means no bound.
 	ProcessBytes int64
 	// MaxConnections bounds the open connections; 0 means no bound.
 	MaxConnections int
@@ -247,9 +247,12 @@
 // false if there is no room for a long head, whose connection is to be closed then.
 func (a *Account) Received(now time.Time, id ID, bytes, lines int) (kept bool, closed []Closed) {
 	c := a.connections[id]
-	if c == nil || c.reason != "" {
+	if c == nil || c.reason != "" && c.phase != Idle {
 		return true, nil
 	}
+	if c.reason != "" {
+		a.keep(c)
+	}
 	if c.phase == Idle {
 		a.setPhase(now, c, Head)
 	}
@@ -265,7 +268,10 @@
 	c.charge += added
 	a.connection += added
 	// What ordinary heads need is small beside the charge of their connections.
-	if c.charge <= a.config.IdleCharge+2*a.config.RequestCharge || a.fitsHead(0, 0) {
+	if c.charge <= a.config.IdleCharge+2*a.config.RequestCharge {
+		return true, nil
+	}
+	if a.fitsHead(0, 0) {
 		return true, nil
 	}
 	closed = a.makeRoom(now, needHead, func(spare float64) bool { return a.fitsHead(0, spare) }, func(other *connection) bool { return other != c })
@@ -304,12 +310,7 @@
 		if c.phase != Idle {
 			return false
 		}
-		// A connection between two requests is closed only while none arrives. One that
-		// was not closed in time goes on.
-		c.reason = ""
-		a.open++
-		a.byAddress[c.address]++
-		a.closing--
+		a.keep(c)
 	}
 	if c.phase != phase {
 		a.setPhase(now, c, phase)
@@ -633,6 +634,15 @@
 	return groups
 }
 
+// keep takes back that a connection between two requests is to be closed. It is closed
+// only while no request arrives, and goes on if it was not closed in time.
+func (a *Account) keep(c *connection) {
+	c.reason = ""
+	a.open++
+	a.byAddress[c.address]++
+	a.closing--
+}
+
 // leave counts a connection as no longer open.
 func (a *Account) leave(c *connection) {
 	a.open--
--- a/pkg/coordination/callermemory/callermemory_test.go
+++ b/pkg/coordination/callermemory/callermemory_test.go
@@ -509,3 +509,25 @@
 		assert.Assert(t, received && len(closed) == 0)
 	}
 }
+
+// Guards against heads that are not counted since their connections were to be closed while
+// they were idle, and were not closed in time.
+func TestHeadOnAConnectionThatGivesWayIsCounted(t *testing.T) {
+	config := callermemory.DefaultConfig(memory, 800)
+	a := callermemory.New(config)
+	for id := range config.MaxConnections {
+		admitted, _ := a.Open(startTime, callermemory.ID(id+1), "crowd")
+		assert.Assert(t, admitted, id)
+	}
+	now := startTime.Add(1100 * time.Millisecond)
+	_, closed := a.Open(now, 1000, "ordinary")
+	assert.Assert(t, len(closed) > 0)
+	before := a.Usage().ConnectionBytes
+	received, _ := a.Received(now, closed[0].ID, 4000, 650)
+	assert.Assert(t, received)
+	added := a.Usage().ConnectionBytes - before
+	assert.Assert(t, added >= 650*config.LineCharge, "%d bytes", added)
+	assert.Assert(t, a.SetPhase(now, closed[0].ID, callermemory.Serving))
+	a.End(closed[0].ID)
+	assert.Equal(t, a.Usage().ConnectionBytes, before)
+}
