--- a/pkg/coordination/callermemory/callermemory.go
+++ b/pkg/coordination/callermemory/callermemory.go
@@ -271,6 +271,9 @@
 	if c.charge <= a.config.IdleCharge+2*a.config.RequestCharge {
 		return true, nil
 	}
+	if a.processFull() {
+		return false, []Closed{a.close(c, NoRoom)}
+	}
 	if a.fitsHead(0, 0) {
 		return true, nil
 	}
--- a/pkg/coordination/callermemory/callermemory_test.go
+++ b/pkg/coordination/callermemory/callermemory_test.go
@@ -510,6 +510,24 @@
 	}
 }
 
+// Guards against long heads that are parsed although the process holds most of its memory:
+// on a busy machine, what earlier ones left as garbage is collected late.
+func TestMeasuredMemoryStopsLongHeads(t *testing.T) {
+	config := callermemory.DefaultConfig(memory, 2000)
+	a := callermemory.New(config)
+	for id := range callermemory.ID(250) {
+		admitted, _ := a.Open(startTime, id+1, "crowd")
+		assert.Assert(t, admitted)
+	}
+	received, _ := a.Received(startTime, 1, 4000, 650)
+	assert.Assert(t, received)
+	a.SetProcessMemory(config.ProcessBytes)
+	received, closed := a.Received(startTime, 1, 4000, 650)
+	assert.Assert(t, !received && len(closed) == 1 && closed[0].ID == 1, "%v", closed)
+	received, _ = a.Received(startTime, 2, 1000, 15)
+	assert.Assert(t, received, "an ordinary head is closed")
+}
+
 // Guards against heads that are not counted since their connections were to be closed while
 // they were idle, and were not closed in time.
 func TestHeadOnAConnectionThatGivesWayIsCounted(t *testing.T) {
