callers: requests that have begun to be parsed come before others of their sender

All bodies grew at the same pace, stayed small for the account (below 256 KB), filled the whole memory for bodies together and were refused at about 100 KB. That bodies which wait never count as stalled is ruled out: a round of turns takes far less than a second. Change: of one sender, requests that have begun come first, so that as many bodies grow at a time as there are turns.

--- a/pkg/coordination/callermemory/callermemory.go
+++ b/pkg/coordination/callermemory/callermemory.go
@@ -157,6 +157,8 @@
 	// phaseAt is when the phase began, and phaseBytes is what has arrived since.
 	phaseAt    time.Time
 	phaseBytes int64
+	// hadTurn is set once a part of the request was parsed in a turn.
+	hadTurn bool
 	// waiting is set while what has arrived waits for its turn to be parsed.
 	waiting bool
 	// reason is set once the connection is to be closed.
@@ -284,14 +286,24 @@
 	return true, closed
 }
 
-// NeedsTurn reports whether what a connection has received is parsed in turns with others,
-// and whose turns it takes: so are requests of more than Config.FreeReadBytes.
-func (a *Account) NeedsTurn(id ID) (sender string, needed bool) {
+// Turn is the turn that a connection needs for what it has received.
+type Turn struct {
+	Sender string
+	// GoesOn is set if a part of the request was parsed before. Requests that have begun
+	// come first: if all advanced at the same pace, they would fill the memory together.
+	GoesOn bool
+}
+
+// NextTurn returns the turn that a connection needs before what it has received is parsed,
+// and whether it needs one: so do requests of more than Config.FreeReadBytes.
+func (a *Account) NextTurn(id ID) (turn Turn, needed bool) {
 	c := a.connections[id]
 	if c == nil || c.phaseBytes <= a.config.FreeReadBytes || c.phase != Head && c.phase != Body && c.phase != Discarding {
-		return "", false
+		return Turn{}, false
 	}
-	return c.sender, true
+	goesOn := c.hadTurn
+	c.hadTurn = true
+	return Turn{Sender: c.sender, GoesOn: goesOn}, true
 }
 
 // SetWaiting records whether what a connection has received waits for its turn. The time
@@ -356,7 +368,7 @@
 }
 
 func (a *Account) setPhase(now time.Time, c *connection, phase Phase) {
-	c.phase, c.phaseAt, c.lastByte, c.progressAt, c.received, c.phaseBytes = phase, now, now, now, 0, 0
+	c.phase, c.phaseAt, c.lastByte, c.progressAt, c.received, c.phaseBytes, c.hadTurn = phase, now, now, now, 0, 0, false
 	charge := a.config.IdleCharge
 	if phase != Idle {
 		// The head is held until the request is answered.
--- a/pkg/coordination/readturns/readturns.go
+++ b/pkg/coordination/readturns/readturns.go
@@ -28,8 +28,9 @@
 }
 
 // Request asks for a turn of a connection that has none, and reports whether it is granted
-// at once. Otherwise End of another connection returns the connection later.
-func (q *Queue) Request(id ID, sender string) bool {
+// at once. Otherwise End of another connection returns the connection later. A connection
+// that goes on with what its last turn was for comes before the others of its sender.
+func (q *Queue) Request(id ID, sender string, goesOn bool) bool {
 	if q.holding[id] {
 		return true
 	}
@@ -44,7 +45,11 @@
 		q.senders = append(q.senders, sender)
 	}
 	q.senderOf[id] = sender
-	q.waiting[sender] = append(q.waiting[sender], id)
+	if goesOn {
+		q.waiting[sender] = append([]ID{id}, q.waiting[sender]...)
+	} else {
+		q.waiting[sender] = append(q.waiting[sender], id)
+	}
 	return false
 }
 
--- a/pkg/coordination/readturns/readturns_test.go
+++ b/pkg/coordination/readturns/readturns_test.go
@@ -18,9 +18,9 @@
 func TestSendersTakeTurns(t *testing.T) {
 	q := readturns.New(1)
 	for id := range readturns.ID(1000) {
-		q.Request(id+1, "crowd")
+		q.Request(id+1, "crowd", false)
 	}
-	q.Request(5000, "ordinary")
+	q.Request(5000, "ordinary", false)
 	turns := 0
 	holder := readturns.ID(1)
 	for range 200 {
@@ -30,7 +30,7 @@
 		if holder == 5000 {
 			sender = "ordinary"
 		}
-		q.Request(holder, sender)
+		q.Request(holder, sender, false)
 		if holder = next; holder == 5000 {
 			turns++
 		}
@@ -45,13 +45,13 @@
 	q := readturns.New(1)
 	got := make(map[readturns.ID]int)
 	for id := range readturns.ID(50) {
-		q.Request(id+1, "crowd")
+		q.Request(id+1, "crowd", false)
 	}
 	holder := readturns.ID(1)
 	for range 500 {
 		got[holder]++
 		next, _ := q.End(holder)
-		q.Request(holder, "crowd")
+		q.Request(holder, "crowd", false)
 		holder = next
 	}
 	for id := range readturns.ID(50) {
@@ -73,7 +73,7 @@
 				if holding[id] {
 					continue
 				}
-				if q.Request(id, fmt.Sprint(id%4)) {
+				if q.Request(id, fmt.Sprint(id%4), rapid.Bool().Draw(t, "goesOn")) {
 					holding[id] = true
 				} else {
 					waiting[id] = true
@@ -104,3 +104,20 @@
 		}
 	})
 }
+
+// Guards against connections of one sender that all advance at the same pace and fill the
+// memory for bodies together: those that go on come first.
+func TestConnectionsThatGoOnComeFirst(t *testing.T) {
+	q := readturns.New(1)
+	for id := range readturns.ID(5) {
+		q.Request(id+1, "crowd", false)
+	}
+	q.Request(100, "ordinary", false)
+	next, _ := q.End(1)
+	assert.Equal(t, next, readturns.ID(2))
+	q.Request(1, "crowd", true)
+	next, _ = q.End(2)
+	assert.Equal(t, next, readturns.ID(100), "another sender waits")
+	next, _ = q.End(100)
+	assert.Equal(t, next, readturns.ID(1))
+}
--- a/pkg/node/caller_account.go
+++ b/pkg/node/caller_account.go
@@ -120,11 +120,11 @@
 func (c *callerAccount) BeginTurn(id connections.ID) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sender, needed := c.account.NeedsTurn(callermemory.ID(id))
+	turn, needed := c.account.NextTurn(callermemory.ID(id))
 	switch {
 	case !needed:
 		return nil
-	case c.turns.Request(readturns.ID(id), sender):
+	case c.turns.Request(readturns.ID(id), turn.Sender, turn.GoesOn):
 		return noWait
 	}
 	c.account.SetWaiting(time.Now(), callermemory.ID(id), true)
