authority: pass old tokens in few refusals

Cause: since a refused VM waits for a lease, one hour a refusal is too little for a VM that is the only one: with tokens of an earlier holder that are eight hours ahead of its clock it ordered no engine for more than 12 s (recover-s). Change: each further refusal in a row raises the next token by eight times as much, up to 64 hours. Orders or a claim of another VM in between end the row, so that VMs that displace each other use up no more tokens than before.

--- a/pkg/coordination/authority/authority.go
+++ b/pkg/coordination/authority/authority.go
@@ -113,6 +113,9 @@
 	// claimHeardAt is when a claim of another VM on a data centre was last heard.
 	// It explains the orders that were noticed before.
 	claimHeardAt map[ids.DataCentreID]time.Time
+	// refusals counts the refused claims on a data centre in a row, with no sign of
+	// another holder in between.
+	refusals map[ids.DataCentreID]refusalCount
 
 	// The remaining fields are used only if the engines check no fencing
 	// tokens.
@@ -137,6 +140,7 @@
 		watchedSince:  make(map[ids.DataCentreID]time.Time),
 		foreignOrders: make(map[ids.DataCentreID]time.Time),
 		claimHeardAt:  make(map[ids.DataCentreID]time.Time),
+		refusals:      make(map[ids.DataCentreID]refusalCount),
 
 		contact:           newContact(config, now),
 		releasedClaims:    make(map[ids.DataCentreID]releasedClaim),
@@ -158,6 +162,7 @@
 		}
 		a.peerClaims[claim.DataCentre][holder] = &peerClaim{boot: boot, fence: claim.Fence, lastHeardAt: now, alone: claim.Alone}
 		a.claimHeardAt[claim.DataCentre] = now
+		delete(a.refusals, claim.DataCentre)
 		if ownFence, holds := a.ownFences[claim.DataCentre]; holds && claim.Fence > ownFence {
 			a.dropClaim(now, claim.DataCentre)
 		}
@@ -297,13 +302,35 @@
 	}
 	delete(a.ownFences, dc)
 	a.foreignOrders[dc] = now
-	a.highestFence = max(a.highestFence, fence+refusedFenceIncrement<<fenceSuffixBits)
+	refusals := a.refusals[dc]
+	if now.Sub(refusals.at) > refusalsInARowLeases*a.config.Lease {
+		refusals.count = 0
+	}
+	increment := ids.FencingToken(refusedFenceIncrement)
+	for range min(refusals.count, maxFenceGrowth) {
+		increment *= refusedFenceGrowth
+	}
+	a.refusals[dc] = refusalCount{count: refusals.count + 1, at: now}
+	a.highestFence = max(a.highestFence, fence+increment<<fenceSuffixBits)
+}
+
+// refusalCount is the number of refused claims in a row, and the time of the last.
+type refusalCount struct {
+	count int
+	at    time.Time
 }
 
 // refusedFenceIncrement raises the next token's prefix after a refusal. Since
 // the prefix counts seconds, one hour exceeds the tokens of a VM whose clock
-// is up to an hour ahead.
-const refusedFenceIncrement = 3600
+// is up to an hour ahead. A holder that is gone may have used tokens that are
+// further ahead, so each further refusal in a row multiplies the increment by
+// refusedFenceGrowth, up to maxFenceGrowth times.
+const (
+	refusedFenceIncrement = 3600
+	refusedFenceGrowth    = 8
+	maxFenceGrowth        = 2
+	refusalsInARowLeases  = 3
+)
 
 // Release gives up all claims before the VM stops.
 func (a *Authority) Release() {
--- a/pkg/coordination/authority/contact.go
+++ b/pkg/coordination/authority/contact.go
@@ -483,6 +483,7 @@
 	if a.config.EnginesCheckFences {
 		if !held {
 			a.foreignOrders[dc] = now
+			delete(a.refusals, dc)
 		}
 		return false
 	}
--- a/pkg/coordination/authority/fenced_test.go
+++ b/pkg/coordination/authority/fenced_test.go
@@ -17,6 +17,9 @@
 	// reports that a VM without a claim reads.
 	fencedTick        = 50 * time.Millisecond
 	fencedReportTicks = 10
+	// fenceEpoch and fenceSuffixBits are those of the tokens.
+	fenceEpoch      = 1_577_836_800
+	fenceSuffixBits = 24
 )
 
 // isolatedVMs simulates VMs that never hear of each other, and one engine that refuses
@@ -71,6 +74,9 @@
 		f.now = f.now.Add(fencedTick)
 		f.step++
 		for _, v := range f.vms {
+			if v.stalled {
+				continue
+			}
 			v.authority.Tick(f.now, f.now, false, []ids.DataCentreID{dc}, nil)
 			f.readReports(v)
 			fence, allowed := v.authority.Fence(f.now, dc)
@@ -226,3 +232,46 @@
 	_, allowed := v.authority.Fence(now, dc)
 	assert.Assert(t, allowed)
 }
+
+// Load: the only VM that is left starts with a clock that is behind the tokens that the
+// engines know from an earlier holder, by hours. Guards against engines that nobody orders
+// for longer than the platform allows for a recovery.
+func TestLoneSurvivorOrdersBesideOldTokens(t *testing.T) {
+	const recovery = 12 * time.Second
+	for _, ahead := range []time.Duration{0, time.Minute, time.Hour, 8 * time.Hour} {
+		f := newIsolatedVMs()
+		f.highest = ids.FencingToken(start.Add(ahead).Unix()-fenceEpoch)<<fenceSuffixBits | 0xffffff
+		f.start()
+		f.run(recovery, func(*vm) bool { return true })
+		assert.Assert(t, len(f.orders) > 0, "no order %v after the start, with tokens that are %v ahead", recovery, ahead)
+		first := f.orders[0].at.Sub(start)
+		t.Logf("first order after %v with tokens that are %v ahead", first, ahead)
+		if ahead == 0 {
+			assert.Assert(t, first <= claimDelay+2*lease+2*fencedTick, "%v", first)
+		}
+	}
+}
+
+// Load: VMs that never hear of each other and are paused for up to three leases, each of
+// which has orders. Guards against a holder that orders once more after it was paused while
+// another VM took over, and takes turns with it.
+func TestPausedIsolatedHoldersTakeNoTurns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newIsolatedVMs()
+		for range rapid.IntRange(2, 3).Draw(t, "vms") {
+			f.start()
+		}
+		f.run(claimDelay+2*lease, func(*vm) bool { return true })
+		for range 6 {
+			paused := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "paused")]
+			paused.stalled = true
+			f.run(time.Duration(rapid.IntRange(100, 9000).Draw(t, "pauseMs"))*time.Millisecond, func(*vm) bool { return true })
+			paused.stalled = false
+			paused.authority.Suspend(f.now)
+			f.run(time.Duration(rapid.IntRange(100, 9000).Draw(t, "runMs"))*time.Millisecond, func(*vm) bool { return true })
+		}
+		if turns := f.turnsWithinLease(); turns > 0 {
+			t.Fatalf("%d turns within one lease in %d orders", turns, len(f.orders))
+		}
+	})
+}
