--- a/pkg/coordination/callermemory/callermemory_test.go
+++ b/pkg/coordination/callermemory/callermemory_test.go
@@ -14,6 +14,15 @@
 
 const memory, kilobyte = 64 << 20, 1 << 10
 
+// openIdle opens connections of an address, with IDs from 1 on, that send nothing.
+func openIdle(t *testing.T, a *callermemory.Account, count int, address string) {
+	t.Helper()
+	for id := range count {
+		admitted, _ := a.Open(startTime, callermemory.ID(id+1), address)
+		assert.Assert(t, admitted, id)
+	}
+}
+
 // openBody opens a connection and lets a body arrive on it in pieces of 16 KB.
 func openBody(t *testing.T, a *callermemory.Account, now time.Time, id callermemory.ID, sender string, bytes int64) bool {
 	t.Helper()
@@ -105,10 +114,7 @@
 func TestStalledHeadsGiveWayToNewConnections(t *testing.T) {
 	config := callermemory.DefaultConfig(memory, 800)
 	a := callermemory.New(config)
-	for id := range config.MaxConnections {
-		admitted, _ := a.Open(startTime, callermemory.ID(id+1), "crowd")
-		assert.Assert(t, admitted, id)
-	}
+	openIdle(t, a, config.MaxConnections, "crowd")
 	admitted, _ := a.Open(startTime, 1000, "ordinary")
 	assert.Assert(t, !admitted)
 	assert.Equal(t, a.Usage().Connections, config.MaxConnections)
@@ -369,9 +375,8 @@
 // grows by 1,200 bytes every 800 ms.
 func slowCrowd(t *testing.T, a *callermemory.Account, count int) (grow func(now time.Time)) {
 	t.Helper()
+	openIdle(t, a, count, "address crowd")
 	for id := range count {
-		admitted, _ := a.Open(startTime, callermemory.ID(id+1), "address crowd")
-		assert.Assert(t, admitted, id)
 		a.SetPhase(startTime, callermemory.ID(id+1), callermemory.Body)
 		a.SetSender(callermemory.ID(id+1), "customer crowd")
 	}
@@ -480,10 +485,7 @@
 		admitted, _ := a.Open(startTime, ordinary+id, "ordinary")
 		assert.Assert(t, admitted)
 	}
-	for id := range callermemory.ID(crowd) {
-		admitted, _ := a.Open(startTime, id+1, "crowd")
-		assert.Assert(t, admitted)
-	}
+	openIdle(t, a, crowd, "crowd")
 	for id := range callermemory.ID(crowd) {
 		whole := true
 		for range pieces {
@@ -515,10 +517,7 @@
 func TestMeasuredMemoryStopsLongHeads(t *testing.T) {
 	config := callermemory.DefaultConfig(memory, 2000)
 	a := callermemory.New(config)
-	for id := range callermemory.ID(250) {
-		admitted, _ := a.Open(startTime, id+1, "crowd")
-		assert.Assert(t, admitted)
-	}
+	openIdle(t, a, 250, "crowd")
 	received, _ := a.Received(startTime, 1, 4000, 650)
 	assert.Assert(t, received)
 	a.SetProcessMemory(config.ProcessBytes)
@@ -533,10 +532,7 @@
 func TestHeadOnAConnectionThatGivesWayIsCounted(t *testing.T) {
 	config := callermemory.DefaultConfig(memory, 800)
 	a := callermemory.New(config)
-	for id := range config.MaxConnections {
-		admitted, _ := a.Open(startTime, callermemory.ID(id+1), "crowd")
-		assert.Assert(t, admitted, id)
-	}
+	openIdle(t, a, config.MaxConnections, "crowd")
 	now := startTime.Add(1100 * time.Millisecond)
 	_, closed := a.Open(now, 1000, "ordinary")
 	assert.Assert(t, len(closed) > 0)
--- a/pkg/node/caller_account.go
+++ b/pkg/node/caller_account.go
@@ -155,6 +155,13 @@
 	delete(c.granted, waiting)
 }
 
+// setPhase records what a connection is occupied with, which ends its turn. The caller
+// holds c.mu.
+func (c *callerAccount) setPhase(id connections.ID, phase callermemory.Phase) bool {
+	c.endTurn(id)
+	return c.account.SetPhase(time.Now(), callermemory.ID(id), phase)
+}
+
 // Changed implements connections.Observer.
 func (c *callerAccount) Changed(id connections.ID, state connections.State) bool {
 	c.mu.Lock()
@@ -192,16 +199,14 @@
 	if customer != "" {
 		c.account.SetSender(callermemory.ID(id), "customer "+string(customer))
 	}
-	c.endTurn(id)
-	c.account.SetPhase(time.Now(), callermemory.ID(id), callermemory.Body)
+	c.setPhase(id, callermemory.Body)
 }
 
 // endBody records that a body is whole. It returns why the request must not be run, or "".
 func (c *callerAccount) endBody(id connections.ID) callermemory.Reason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endTurn(id)
-	c.account.SetPhase(time.Now(), callermemory.ID(id), callermemory.Serving)
+	c.setPhase(id, callermemory.Serving)
 	return c.account.ReasonOf(callermemory.ID(id))
 }
 
@@ -210,8 +215,7 @@
 func (c *callerAccount) beginDiscard(id connections.ID) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endTurn(id)
-	if !c.account.SetPhase(time.Now(), callermemory.ID(id), callermemory.Discarding) {
+	if !c.setPhase(id, callermemory.Discarding) {
 		return 0
 	}
 	return c.account.DiscardShare()
@@ -222,8 +226,7 @@
 func (c *callerAccount) endDiscard(id connections.ID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endTurn(id)
-	return c.account.SetPhase(time.Now(), callermemory.ID(id), callermemory.Serving)
+	return c.setPhase(id, callermemory.Serving)
 }
 
 // reasonOf returns why a connection is closed, or "" if it is not.
