--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -28,6 +28,8 @@
 	// Events is the number of events of a stream, and Pause the time before each.
 	Events int
 	Pause  time.Duration
+	// Prefill is the time before the first event.
+	Prefill time.Duration
 	// WorkTime is how long a plain request runs.
 	WorkTime time.Duration
 	// LineEnd ends the lines of streams; "\n" if empty.
@@ -251,6 +253,15 @@
 	return int64(min(sum, 1<<62))
 }
 
+// timeLimit returns the time limit of a request.
+func timeLimit(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get("Deadline-Milliseconds"))
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // holdsPart reports whether a prompt holds a part, other than as its last one.
 func holdsPart(prefix, part string) bool {
 	entries := strings.Split(prefix, ",")
@@ -307,12 +318,23 @@
 	if end == "" {
 		end = "\n"
 	}
+	limit := time.NewTimer(timeLimit(r))
+	defer limit.Stop()
+	pause := w.Prefill + w.Pause
 	for i := last + 1; i <= w.Events; i++ {
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(w.Pause):
+		case <-limit.C:
+			// A worker stops work at the time limit.
+			if i > last+1 {
+				panic(http.ErrAbortHandler)
+			}
+			rw.WriteHeader(http.StatusGatewayTimeout)
+			return
+		case <-time.After(pause):
 		}
+		pause = w.Pause
 		if deadly && i-last > w.DeadlyAfter {
 			w.crash()
 			panic(http.ErrAbortHandler)
@@ -322,6 +344,9 @@
 	}
 }
 
+// Crash ends the worker's process.
+func (w *Worker) Crash() { w.crash() }
+
 // crash ends the worker's process, which resets its connections. It is back after Down
 // under another identifier.
 func (w *Worker) crash() {
