--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -83,6 +83,22 @@
 	return s.write(item{Key: key, Value: body})
 }
 
+// NewestVersion returns the newest version of an adapter that was declared, or 1.
+func (s *Store) NewestVersion(model, adapter string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var declared struct{ Version int }
+	if err := json.Unmarshal(s.items["op/version/"+model+"."+adapter].Value, &declared); err != nil {
+		return 1
+	}
+	return max(declared.Version, 1)
+}
+
+// Declare declares a version of an adapter.
+func (s *Store) Declare(model, adapter string, version int) time.Time {
+	return s.Put("op/version/"+model+"."+adapter, map[string]any{"model": model, "adapter": adapter, "version": version})
+}
+
 // Delete removes a key.
 func (s *Store) Delete(key string) time.Time { return s.write(item{Key: key, Tombstone: true}) }
 
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -15,7 +15,25 @@
 // Run is a request that a worker has begun to work on.
 type Run struct {
 	ID, Tenant, Path, LastEvent string
-	At                          time.Time
+	// Version is that of the adapter.
+	Version int
+	At      time.Time
+}
+
+// heldAdapter is an adapter of an engine. While next is set, it is being loaded or
+// replaced: until ready, and until the runs of the version before have ended.
+type heldAdapter struct {
+	version, next int
+	ready         time.Time
+	running       int
+}
+
+// settle ends a load whose time has come, and reports whether the adapter can be used.
+func (a *heldAdapter) settle() bool {
+	if a.next != 0 && !time.Now().Before(a.ready) && a.running == 0 {
+		a.version, a.next = a.next, 0
+	}
+	return a.next == 0
 }
 
 // Worker is a stand-in of a worker: of an engine if Model is set, or else of a plain one.
@@ -49,7 +67,7 @@
 	ended       bool
 	sequence    uint64
 	fence       uint64
-	adapters    map[string]time.Time
+	adapters    map[string]*heldAdapter
 	running     int
 	runs        []Run
 	rejected    int
@@ -78,7 +96,7 @@
 	w.server = &http.Server{Handler: mux}
 	w.started = max(time.Now().UnixMilli(), w.started+1)
 	w.sequence, w.fence, w.running, w.ended = 0, 0, 0, false
-	w.adapters = make(map[string]time.Time)
+	w.adapters = make(map[string]*heldAdapter)
 	server := w.server
 	w.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
@@ -127,9 +145,9 @@
 		return []any{}
 	}
 	loaded := []string{}
-	for adapter, ready := range w.adapters {
-		if !time.Now().Before(ready) {
-			loaded = append(loaded, adapter+"@1")
+	for name, adapter := range w.adapters {
+		if adapter.settle(); adapter.version != 0 {
+			loaded = append(loaded, fmt.Sprintf("%s@%d", name, adapter.version))
 		}
 	}
 	return []any{map[string]any{"name": w.Model, "version": 1, "adapters": loaded}}
@@ -167,9 +185,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	coming := []string{}
-	for adapter, ready := range w.adapters {
-		if time.Now().Before(ready) {
-			coming = append(coming, w.Model+"/"+adapter+"@1")
+	for name, adapter := range w.adapters {
+		if !adapter.settle() {
+			coming = append(coming, fmt.Sprintf("%s/%s@%d", w.Model, name, adapter.next))
 		}
 	}
 	writeJSON(rw, map[string]any{
@@ -186,6 +204,7 @@
 		Operation, Model, Adapter, Holder string
 		Precondition                      *uint64
 		Fence                             uint64
+		Version                           int
 	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Holder == "" || order.Fence == 0 {
 		rw.WriteHeader(http.StatusBadRequest)
@@ -202,18 +221,29 @@
 		return
 	}
 	w.fence = order.Fence
-	_, held := w.adapters[order.Adapter]
-	if held == (order.Operation == "loading") {
+	held := w.adapters[order.Adapter]
+	if order.Operation == "unloading" {
+		if held != nil {
+			w.sequence++
+			delete(w.adapters, order.Adapter)
+		}
 		rw.WriteHeader(http.StatusOK)
 		return
 	}
-	w.sequence++
-	if held {
-		delete(w.adapters, order.Adapter)
+	version := order.Version
+	if version == 0 {
+		version = w.Store.NewestVersion(w.Model, order.Adapter)
+	}
+	if held != nil && max(held.version, held.next) >= version {
 		rw.WriteHeader(http.StatusOK)
 		return
 	}
-	w.adapters[order.Adapter] = time.Now().Add(250 * time.Millisecond)
+	w.sequence++
+	if held == nil {
+		held = &heldAdapter{}
+		w.adapters[order.Adapter] = held
+	}
+	held.next, held.ready = version, time.Now().Add(250*time.Millisecond)
 	rw.WriteHeader(http.StatusAccepted)
 }
 
@@ -231,9 +261,9 @@
 	if model != w.Model {
 		return http.StatusMisdirectedRequest
 	}
-	if ready, held := w.adapters[adapter]; adapter != "" && !held {
+	if held := w.adapters[adapter]; adapter != "" && held == nil {
 		return http.StatusMisdirectedRequest
-	} else if adapter != "" && time.Now().Before(ready) {
+	} else if adapter != "" && !held.settle() {
 		return http.StatusServiceUnavailable
 	}
 	if tokens(r) > w.KVTokens || w.running >= w.Slots {
@@ -287,14 +317,21 @@
 		rw.WriteHeader(status)
 		return
 	}
+	_, adapterName, _ := strings.Cut(r.Header.Get("Model"), "/")
 	w.mu.Lock()
 	w.running++
-	w.runs = append(w.runs, Run{ID: id, Tenant: r.Header.Get("Tenant"), Path: r.URL.Path, LastEvent: r.Header.Get("Last-Event-Id"), At: time.Now()})
+	adapter := w.adapters[adapterName]
+	if adapter == nil {
+		adapter = &heldAdapter{}
+	}
+	adapter.running++
+	w.runs = append(w.runs, Run{Version: adapter.version, ID: id, Tenant: r.Header.Get("Tenant"), Path: r.URL.Path, LastEvent: r.Header.Get("Last-Event-Id"), At: time.Now()})
 	load := fmt.Sprintf("%d,0,%d", w.running, w.Slots)
 	w.mu.Unlock()
 	defer func() {
 		w.mu.Lock()
 		w.running = max(w.running-1, 0)
+		adapter.running--
 		w.mu.Unlock()
 	}()
 	_, _ = io.Copy(io.Discard, r.Body)
