--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -221,6 +221,10 @@
 		return
 	}
 	w.fence = order.Fence
+	if order.Adapter != "" && !exists(order.Adapter) {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	held := w.adapters[order.Adapter]
 	if order.Operation == "unloading" {
 		if held != nil {
@@ -247,6 +251,12 @@
 	rw.WriteHeader(http.StatusAccepted)
 }
 
+// exists reports whether the model has an adapter: they are named a1, a2 and so on.
+func exists(adapter string) bool {
+	number, err := strconv.Atoi(strings.TrimPrefix(adapter, "a"))
+	return err == nil && strings.HasPrefix(adapter, "a") && number >= 1 && number <= Adapters
+}
+
 // rejection returns the status with which the worker rejects a request, or 0.
 func (w *Worker) rejection(r *http.Request) int {
 	w.mu.Lock()
