--- a/review/harness3/client.go
+++ b/review/harness3/client.go
@@ -141,6 +141,9 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.Say("disruption: %v", trouble)
 	code, err := run(d, record, trouble)
+	for _, worker := range d.Workers {
+		worker.writeRuns(record)
+	}
 	if err != nil {
 		record.Say("cannot run: %v", err)
 		return CannotRun
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -160,6 +160,20 @@
 	return append([]Run(nil), w.runs...)
 }
 
+// writeRuns writes all runs of the worker to the record.
+func (w *Worker) writeRuns(record *Record) {
+	for _, run := range w.Runs() {
+		record.Write("run of %s at %s after %.3f s: path %s, tenant %q, version %d, last event %q", run.ID, w.ID, run.At.Sub(record.began).Seconds(), run.Path, run.Tenant, run.Version, run.LastEvent)
+	}
+	record.Write("%s rejected %d requests and crashed %d times", w.ID, w.rejections(), w.Crashes())
+}
+
+func (w *Worker) rejections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rejected
+}
+
 // Crashes returns how often the worker has crashed.
 func (w *Worker) Crashes() int {
 	w.mu.Lock()
