--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -36,51 +36,6 @@
 	placementRetryInterval = 20 * time.Millisecond
 )
 
-// declaredVersions records the newest version of each adapter and when this VM
-// saw its declaration.
-type declaredVersions struct {
-	mu     sync.Mutex
-	latest map[serving.AdapterKey]declaredVersion
-}
-
-type declaredVersion struct {
-	version    ids.AdapterVersion
-	declaredAt time.Time
-}
-
-func newDeclaredVersions() *declaredVersions {
-	return &declaredVersions{latest: make(map[serving.AdapterKey]declaredVersion)}
-}
-
-func (d *declaredVersions) update(now time.Time, versions map[serving.AdapterKey]ids.AdapterVersion) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for key, version := range versions {
-		if d.latest[key].version < version {
-			d.latest[key] = declaredVersion{version: version, declaredAt: now}
-		}
-	}
-}
-
-// minVersion returns the lowest version on which a request may begin. It is 0
-// while the newest version was declared less than grace ago.
-func (d *declaredVersions) minVersion(now time.Time, key serving.AdapterKey, grace time.Duration) ids.AdapterVersion {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	declared := d.latest[key]
-	if now.Sub(declared.declaredAt) < grace {
-		return 0
-	}
-	return declared.version
-}
-
-// newest returns the newest declared version.
-func (d *declaredVersions) newest(key serving.AdapterKey) ids.AdapterVersion {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.latest[key].version
-}
-
 // versionGraceShare is the share of Bounds.OldVersionGracePeriod for which an older
 // version is still used while the newer one loads.
 const versionGraceShare = 0.4
@@ -103,7 +58,7 @@
 		if len(endpoints) == 0 {
 			return nil, n.refuseUnplaced(p, refuseNoEndpoint())
 		}
-		minVersion := n.declared.minVersion(now, p.request.AdapterKey(), time.Duration(versionGraceShare*float64(n.settings.Bounds.OldVersionGracePeriod)))
+		minVersion := n.declared.minVersion(now, p.request.AdapterKey())
 		if p.deniedBy != nil {
 			deniedBy := p.deniedBy
 			p.deniedBy = nil
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -204,7 +204,7 @@
 		store: options.Store, records: options.Records, engines: options.Engines, headerCodec: options.HeaderCodec, client: options.Client,
 		boot: boot, startedAt: now, bootTime: bootTime, bootTimeAtStart: bootTime(),
 		logWriter: logWriter, log: observability.NewLogger(logWriter, options.LogLevel, &observability.Redactor{}),
-		mirror: newMirror(options.Records, settings), directory: directory.New(), declared: newDeclaredVersions(),
+		mirror: newMirror(options.Records, settings), directory: directory.New(), declared: newDeclaredVersions(time.Duration(versionGraceShare * float64(settings.Bounds.OldVersionGracePeriod))),
 		authority: authority.New(authority.Config{
 			Self: settings.Self(), DataCentre: settings.DataCentre, Cores: settings.Cores, FenceSuffix: uniqueNumber(settings.IP),
 			Lease: settings.Bounds.Lease, FirstClaimDelay: claimDelay, SuspendTime: confirmDelayAfterStall,
