Caps: a request that its limit never admits counts as no demand

Cause: Limiter.Admit added the whole cost of a request to the customer's demand before it decided, and peers learned of it as well. While the demand is above the rate, requests are admitted by lot with the probability rate / demand; it decays with a time constant of one second, so that the tenant's other requests were refused for about 10 s. Had the lot admitted the large one, its debt would have refused them for hours. The sum of the two token counts could also overflow: a negative cost was admitted and filled the bucket.

Change: a request is admitted only if the debt that it leaves is one that use at other VMs may leave too, one burst and a second of the rate. One that even a full bucket does not admit is refused at once, with a Retry-After of an hour, and counts neither as use nor as demand. The sum saturates, negative costs count as 0, and no Retry-After overflows at low rates.

Ruled out: the room of engines. Package room expects no more output of a request than the largest of others, and has a test for that.

--- a/pkg/coordination/caps/caps.go
+++ b/pkg/coordination/caps/caps.go
@@ -104,7 +104,8 @@
 const (
 	// maxNeed bounds the level that a request needs for its cost, so that a
 	// request that costs more than the burst can still run. It is charged in
-	// full, and the resulting debt delays the next requests.
+	// full, and the resulting debt, which Limit.largestDebt bounds, delays the
+	// next requests.
 	maxNeed = 0.5
 	// generationReserve is kept back from generations for plain requests, which
 	// cost a tenth of a generation. urgencyStep is kept back in addition for
@@ -134,31 +135,47 @@
 }
 
 // requiredLevel returns the bucket level at which the request is admitted.
-func (d Request) requiredLevel(burst float64) float64 {
+func (d Request) requiredLevel(limit Limit) float64 {
 	reserve := 0.0
 	if d.Generation {
 		reserve = min(generationReserve+urgencyStep*float64(max(d.Urgency, 0)), maxReserve)
 	}
-	return min(float64(d.Cost), maxNeed*burst) + reserve*burst
+	need := min(float64(d.Cost), maxNeed*limit.Burst) + reserve*limit.Burst
+	return max(need, float64(d.Cost)-limit.largestDebt())
+}
+
+// largestDebt returns how far below zero the level of a bucket may be: one burst
+// plus what the rate earns in maxDebtTime, but at least one unit.
+func (l Limit) largestDebt() float64 { return max(l.Burst+maxDebtTime.Seconds()*l.Rate, 1) }
+
+// NeverAdmits reports whether a request of the given cost is refused even by a full
+// bucket.
+func (l Limit) NeverAdmits(cost int64) bool {
+	return l.Rate > 0 && float64(cost)-l.largestDebt() > l.Burst
 }
 
 // Admit charges a request and reports whether it was admitted. If the customer
 // is over its limit, Admit also returns the time after which a retry may
 // succeed. While the bucket is low, plain and more urgent requests are admitted
-// in preference to others.
+// in preference to others. A request that no retry helps counts neither as use nor
+// as demand, so that it does not keep the customer's other requests out.
 func (l *Limiter) Admit(now time.Time, customer ids.CustomerID, limit Limit, request Request) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
 	}
+	if limit.NeverAdmits(request.Cost) {
+		return false, maxRetryAfter
+	}
+	request.Cost = max(request.Cost, 0)
 	b := l.refill(now, customer, limit)
 	rate := limit.Rate * l.rateShare
 	l.addDemand(now, customer, request.Cost)
 	l.countLocal(customer, Use{Requested: request.Cost})
-	if requiredLevel := request.requiredLevel(limit.Burst); b.level < requiredLevel {
-		return false, max(time.Duration((requiredLevel-b.level)/rate*float64(time.Second)), minRetryAfter)
+	if requiredLevel := request.requiredLevel(limit); b.level < requiredLevel {
+		return false, timeToEarn(requiredLevel-b.level, rate)
 	}
 	if demandRate := l.demandRate(now, customer); demandRate > overRateFactor*rate && request.Draw >= (rate+b.level/levelSpendTime.Seconds())/demandRate {
-		return false, max(time.Duration(float64(request.Cost)/rate*float64(time.Second)), minRetryAfter)
+		return false, timeToEarn(float64(request.Cost), rate)
 	}
 	b.level -= float64(request.Cost)
 	l.countLocal(customer, Use{Admitted: request.Cost})
@@ -312,7 +329,7 @@
 		l.addDemand(now, customer, added.Requested)
 		if b := l.buckets[customer]; b != nil {
 			l.refill(now, customer, b.limit)
-			floor := min(b.level, -b.limit.Burst-maxDebtTime.Seconds()*b.limit.Rate)
+			floor := min(b.level, -b.limit.largestDebt())
 			b.level = max(b.level-float64(added.Admitted), floor)
 		}
 	}
@@ -349,11 +366,22 @@
 	return int64(staleChargePart * b.limit.Burst / float64(len(l.peers)))
 }
 
-// minRetryAfter keeps a refused caller from retrying at once.
-const minRetryAfter = 20 * time.Millisecond
+// minRetryAfter keeps a refused caller from retrying at once, and maxRetryAfter
+// bounds the time for requests and rates for which there is no sensible one.
+const (
+	minRetryAfter = 20 * time.Millisecond
+	maxRetryAfter = time.Hour
+)
+
+// timeToEarn returns the time in which a rate earns the given units, for a caller that
+// is to come back then.
+func timeToEarn(units, rate float64) time.Duration {
+	seconds := min(units/rate, maxRetryAfter.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), minRetryAfter)
+}
 
-// maxDebtTime bounds the debt that use at other VMs can leave in a bucket: one
-// burst plus what the rate earns in this time.
+// maxDebtTime is the time in Limit.largestDebt, which bounds what a request, or use at
+// other VMs, can leave in a bucket.
 const maxDebtTime = time.Second
 
 // Bounds for reports that a peer sends after a silence. A silence longer than
--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -319,19 +319,24 @@
 	if customer.CountTokens {
 		p.request.Cost = customer.PlainTokens
 		if call.HasTokens {
-			p.request.Cost = call.PromptTokens + call.MaxOutputTokens
+			p.request.Cost = call.tokens()
 		}
 	}
+	limit := capLimit(customer)
 	n.capsMu.Lock()
 	defer n.capsMu.Unlock()
-	admitted, after := n.caps.Admit(now, customer.ID, capLimit(customer), caps.Request{
+	admitted, after := n.caps.Admit(now, customer.ID, limit, caps.Request{
 		Cost:       p.request.Cost,
 		Generation: p.request.Service.Engine != nil,
 		Urgency:    p.request.Route.Priority,
 		Draw:       rand.Float64(),
 	})
 	if !admitted {
-		return &refusal{status: http.StatusTooManyRequests, reason: "over the customer's rate", retryAfter: after}
+		reason := "over the customer's rate"
+		if limit.NeverAdmits(p.request.Cost) {
+			reason = "larger than the customer's limit admits"
+		}
+		return &refusal{status: http.StatusTooManyRequests, reason: reason, retryAfter: after}
 	}
 	p.charged = true
 	return nil
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -103,6 +104,14 @@
 	ResumeAfter string
 }
 
+// tokens returns the stated tokens, or the largest number if their sum exceeds it.
+func (c Call) tokens() int64 {
+	if c.MaxOutputTokens > math.MaxInt64-c.PromptTokens {
+		return math.MaxInt64
+	}
+	return c.PromptTokens + c.MaxOutputTokens
+}
+
 // Send describes one attempt to send a request to an endpoint.
 type Send struct {
 	Endpoint *serving.Endpoint
