Connections: one with unread bytes is not closed as idle

Callers lost requests long after a SIGTERM: connection closed without an answer, later than the slack for a request that crosses the close, and no line about the request in any log.

Cause: a connection counted as idle until the server read from it. A process that is short of processor time reads late, and its drain goroutine may run before the readers: it closed connections on which the kernel already held a whole request, which resets them.

Change: closeIfIdle leaves a connection open while the kernel holds bytes that have not been read.

--- a/pkg/transport/connections/connections.go
+++ b/pkg/transport/connections/connections.go
@@ -369,11 +369,12 @@
 	})
 }
 
-// closeIfIdle closes the connection unless a request is being read or answered.
+// closeIfIdle closes the connection unless a request is being read or answered, or waits
+// in the kernel: a process that is short of processor time reads it late.
 func (c *connection) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idleSince.IsZero() || now.Sub(c.idleSince) < minIdleTime {
+	if c.idleSince.IsZero() || now.Sub(c.idleSince) < minIdleTime || hasUnread(c.TCPConn) {
 		return
 	}
 	c.closed = true
--- a/pkg/transport/connections/kernel_linux.go
+++ b/pkg/transport/connections/kernel_linux.go
@@ -19,6 +19,19 @@
 	return bytes, controlErr == nil && err == nil
 }
 
+// hasUnread reports whether the kernel holds bytes from the client of a connection.
+func hasUnread(tcp *net.TCPConn) bool {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	controlErr := raw.Control(func(fd uintptr) {
+		unread, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+	})
+	return controlErr == nil && err == nil && unread > 0
+}
+
 // clientClosed reports whether the kernel knows that the client of a connection sends
 // nothing more.
 func clientClosed(tcp *net.TCPConn) (closed bool) {
