Drain: count the grace time from the signal, not from its handling

Callers lost requests when a VM was killed at the end of its grace time, which a draining VM should not reach (sent 2 s after SIGTERM, closed 8 s after it).

Cause: a process that is short of processor time learns of a signal when the goroutine that receives it gets a turn, 1.1 to 1.6 s late on the machines in question. The grace time was counted from then, with 0.3 s in reserve.

Change: while it waits for the end, Run checks every 100 ms whether goroutines that are ready get a turn. The signal counts as sent at the last check that passed. The drain ends earlier by the same delay once more, since its end comes as late as its beginning, but not so early that answers are cut before the last sixth of the grace time. The log line "drain" has the delay. The drain moves to a file of its own.

Before, TestScheduleOfALateDrain fails (end 8.3 s after a signal that is handled after 0.6 s, where 7.3 s are expected).

--- /dev/null
+++ b/pkg/node/drain.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/wagtailspoke/wagtailspoke/pkg/transport/connections"
+)
+
+// Timings of a graceful shutdown.
+const (
+	// drainListenTime is how long a draining VM still accepts connections, so
+	// that the load balancer can see two failed probes one second apart.
+	drainListenTime = 2200 * time.Millisecond
+	// drainReserve is the part of the grace time that is kept for ending the
+	// process.
+	drainReserve = 300 * time.Millisecond
+	// drainAnswerShare is the share of the grace time, before drainReserve, that is
+	// kept for answering the requests that are still open.
+	drainAnswerShare = 0.025
+	// maxDrainDelayShare and maxEarlyEndShare bound the shares of the grace time by which
+	// a drain may be taken to begin late, and by which it ends earlier for that.
+	maxDrainDelayShare = 0.5
+	maxEarlyEndShare   = 0.12
+	// handlerEndTime is how long a drain waits for handlers whose connections it has
+	// closed, with looks at handlerEndInterval.
+	handlerEndTime     = 100 * time.Millisecond
+	handlerEndInterval = 5 * time.Millisecond
+	// turnInterval is the pause between two checks of whether this process gets
+	// processor time.
+	turnInterval = 100 * time.Millisecond
+)
+
+// Run serves until ctx ends, then drains.
+func (n *Node) Run(ctx context.Context) { n.drain(awaitEnd(ctx)) }
+
+// awaitEnd waits until ctx ends, and returns the earliest time at which that can have been
+// asked for. A process that is short of processor time learns late of a signal.
+func awaitEnd(ctx context.Context) time.Time {
+	ticker := time.NewTicker(turnInterval)
+	defer ticker.Stop()
+	for seen := time.Now(); ; {
+		asked := time.Now()
+		// Goroutines that are ready run before this one goes on, that which receives
+		// signals included: signals that arrived before have been seen then.
+		runtime.Gosched()
+		select {
+		case <-ctx.Done():
+			return seen
+		default:
+			seen = asked
+		}
+		select {
+		case <-ctx.Done():
+			return seen
+		case <-ticker.C:
+		}
+	}
+}
+
+// drainSchedule holds the times of a drain.
+type drainSchedule struct {
+	// stopListening is when no more connections are accepted, answerBy when the requests
+	// that are open have to be answered, and end when the process ends.
+	stopListening, answerBy, end time.Time
+}
+
+// scheduleDrain returns the times of a drain that was asked for at the given time and began
+// at a later one. A process that begins late is expected to end late too.
+func scheduleDrain(asked, began time.Time, grace time.Duration) drainSchedule {
+	delay := min(max(began.Sub(asked)-turnInterval, 0), time.Duration(maxDrainDelayShare*float64(grace)))
+	early := min(delay, time.Duration(maxEarlyEndShare*float64(grace)))
+	end := began.Add(-delay).Add(grace - drainReserve - early)
+	return drainSchedule{
+		stopListening: began.Add(min(drainListenTime, grace/2)),
+		answerBy:      end.Add(-drainAnswerTime(grace)),
+		end:           end,
+	}
+}
+
+func drainAnswerTime(grace time.Duration) time.Duration {
+	return time.Duration(drainAnswerShare * float64(grace))
+}
+
+// Drain shuts the VM down without aborting requests that finish within the
+// grace time. It closes idle connections only once the load balancer has
+// stopped opening new ones, so that no request arrives that could not finish in
+// time. Requests that are open at the end are answered as timed out; only
+// answers that have begun are cut.
+func (n *Node) Drain() { n.drain(time.Now()) }
+
+// drain is Drain for a grace time that began when the end was asked for.
+func (n *Node) drain(asked time.Time) {
+	began := time.Now()
+	grace := n.settings.Bounds.ShutdownGracePeriod
+	schedule := scheduleDrain(asked, began, grace)
+	n.draining.Store(true)
+	n.updateClaims(began)
+	n.wakeExchange.wake()
+	n.logInfo("drain", fields{"open": n.openRequests.Load(), "delayMs": began.Sub(asked).Milliseconds()})
+	time.Sleep(time.Until(schedule.stopListening))
+	n.drainEnd.Store(&schedule.answerBy)
+	if n.callersListener != nil {
+		if err := connections.CloseListener(n.callersListener); err != nil {
+			n.logWarning("callers' listener not closed", err, nil)
+		}
+	}
+	if open := n.closeCallers(schedule); open > 0 {
+		n.logInfo("drain incomplete", fields{"connections": open, "open": n.openRequests.Load()})
+	}
+	for _, server := range n.servers {
+		// Requests that are still open have used up the grace time.
+		_ = server.Close()
+	}
+	// The handlers of answers that were cut still have to log that.
+	for until := time.Now().Add(handlerEndTime); n.openRequests.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(handlerEndInterval)
+	}
+	n.logInfo("stop", fields{"open": n.openRequests.Load(), "drainMs": time.Since(began).Milliseconds()})
+	n.stop()
+}
+
+// closeCallers closes the callers' connections once their requests are answered, and returns
+// the number of those that are open at the end. Requests that are open at schedule.answerBy
+// are ended then.
+func (n *Node) closeCallers(schedule drainSchedule) int {
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.answerBy)
+	defer cancel()
+	open := n.callers.Drain(ctx)
+	if open == 0 {
+		return 0
+	}
+	n.cancelRequests()
+	ctx, cancel = context.WithDeadline(context.Background(), schedule.end)
+	defer cancel()
+	return n.callers.Drain(ctx)
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -370,68 +370,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Timings of a graceful shutdown.
-const (
-	// drainListenTime is how long a draining VM still accepts connections, so
-	// that the load balancer can see two failed probes one second apart.
-	drainListenTime = 2200 * time.Millisecond
-	// drainReserve is the part of the grace time that is kept for ending the
-	// process.
-	drainReserve = 300 * time.Millisecond
-	// drainAnswerShare is the share of the grace time, before drainReserve, that is
-	// kept for answering the requests that are still open.
-	drainAnswerShare = 0.025
-	// handlerEndTime is how long a drain waits for handlers whose connections it has
-	// closed, with looks at handlerEndInterval.
-	handlerEndTime     = 100 * time.Millisecond
-	handlerEndInterval = 5 * time.Millisecond
-)
-
-// Run serves until ctx ends, then drains.
-func (n *Node) Run(ctx context.Context) {
-	<-ctx.Done()
-	n.Drain()
-}
-
-// Drain shuts the VM down without aborting requests that finish within the
-// grace time. It closes idle connections only once the load balancer has
-// stopped opening new ones, so that no request arrives that could not finish in
-// time. Requests that are open at the end are answered as timed out; only
-// answers that have begun are cut.
-func (n *Node) Drain() {
-	began := time.Now()
-	n.draining.Store(true)
-	n.updateClaims(began)
-	n.wakeExchange.wake()
-	n.logInfo("drain", fields{"open": n.openRequests.Load()})
-	time.Sleep(min(drainListenTime, n.settings.Bounds.ShutdownGracePeriod/2))
-	grace := n.settings.Bounds.ShutdownGracePeriod
-	end := began.Add(grace - drainReserve)
-	answerBy := end.Add(-time.Duration(drainAnswerShare * float64(grace)))
-	n.drainEnd.Store(&answerBy)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	defer time.AfterFunc(time.Until(answerBy), n.cancelRequests).Stop()
-	if n.callersListener != nil {
-		if err := connections.CloseListener(n.callersListener); err != nil {
-			n.logWarning("callers' listener not closed", err, nil)
-		}
-	}
-	if open := n.callers.Drain(ctx); open > 0 {
-		n.logInfo("drain incomplete", fields{"connections": open, "open": n.openRequests.Load()})
-	}
-	for _, server := range n.servers {
-		// Requests that are still open have used up the grace time.
-		_ = server.Close()
-	}
-	// The handlers of answers that were cut still have to log that.
-	for until := time.Now().Add(handlerEndTime); n.openRequests.Load() > 0 && time.Now().Before(until); {
-		time.Sleep(handlerEndInterval)
-	}
-	n.logInfo("stop", fields{"open": n.openRequests.Load(), "drainMs": time.Since(began).Milliseconds()})
-	n.stop()
-}
-
 // Stop shuts the VM down at once, as a kill would.
 func (n *Node) Stop() {
 	for _, server := range n.servers {
