Drain: connections stay open until their requests have had a turn to be answered

A caller whose request was open at the end of a drain lost it: its connection was closed without the answer 504 that the drain is to give.

Cause: the requests were ended by a timer 0.2 s before the connections were closed by another one. In a process that had no turn between the two, both were due at once, and the connections were closed first.

Change: one goroutine ends the requests and then closes the connections, not sooner than the time for answers after that.

TestDrainThatBeginsLateAnswersInTime runs the daemon as a process that is stopped for 650 ms of each 750 ms, with SIGTERM at the beginning of a pause and a request open at a silent worker.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 # the tests of all packages, an ordinary request got no answer within 40 s.
 APART = --apart "./platform TestBurstOfLargeBodiesIsAnswered" --apart "./platform TestUntrustedCallersLeaveRoom" \
 	--apart "./platform TestBodiesOfClosedCallersAreNotParsed" --apart "./platform TestWholeBodiesOfWaitingCallersAreServed" \
-	--apart "./platform TestHeadsOfManyLinesStayWithinMemory" --apart "./platform TestDrainOfAStarvedVMAnswersWhatItReceived"
+	--apart "./platform TestHeadsOfManyLinesStayWithinMemory" --apart "./platform TestDrainOfAStarvedVMAnswersWhatItReceived" \
+	--apart "./platform TestDrainThatBeginsLateAnswersInTime"
 
 demo: build
 	./bin/wagtailctl demo
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -121,6 +121,13 @@
 	n.stop()
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // closeCallers closes the callers' connections once their requests are answered, and returns
 // the number of those that are open at the end. Requests that are open at schedule.answerBy
 // are ended then.
@@ -132,7 +139,9 @@
 		return 0
 	}
 	n.cancelRequests()
-	ctx, cancel = context.WithDeadline(context.Background(), schedule.end)
+	// A process that gets here late answers late too.
+	answered := time.Now().Add(drainAnswerTime(n.settings.Bounds.ShutdownGracePeriod))
+	ctx, cancel = context.WithDeadline(context.Background(), latest(schedule.end, answered))
 	defer cancel()
 	return n.callers.Drain(ctx)
 }
