Room: an unlimited output does not fill an engine of unknown output

Before a few requests of a service have run to their end, an owner took a request at its word: one that does not limit its output counted as 2^30 tokens. As long as it ran, all other requests for its engine were queued or refused; afterwards it stood in the mean that the engine's unknown requests are taken to hold, which blocked the engine as long as it had any.

Change: until the output of other requests is known, one is not expected to put out more than the share of a slot. Most requests state less, so that nothing changes for them.

Before, TestRequestWithoutOutputLimitLeavesRoomAtAnEngineOfUnknownOutput failed: an ordinary request beside the unlimited one was refused, with a wait of 4.96 s.

--- a/pkg/coordination/room/engine_tokens.go
+++ b/pkg/coordination/room/engine_tokens.go
@@ -108,7 +108,7 @@
 	if g.reading() {
 		return 0, g.prompt
 	}
-	output := l.speed.expectedOutput(g.outputTokens)
+	output := l.expectedOutput(g.outputTokens)
 	perToken := l.speed.betweenEvents(l.eventSteps) / float64(l.eventSteps)
 	if !l.speed.known() || perToken <= 0 {
 		perToken = 0
--- a/pkg/coordination/room/ledger.go
+++ b/pkg/coordination/room/ledger.go
@@ -125,12 +125,23 @@
 
 // expectedTokens returns the tokens that a request takes until it ends.
 func (l *Ledger) expectedTokens(g *granted) float64 {
-	return g.prompt + l.speed.expectedOutput(g.outputTokens)
+	return g.prompt + l.expectedOutput(g.outputTokens)
 }
 
 // needs returns the tokens that a request takes at the engine.
 func (l *Ledger) needs(request Request) float64 {
-	return l.cost(request) + l.speed.expectedOutput(request.OutputTokens)
+	return l.cost(request) + l.expectedOutput(request.OutputTokens)
+}
+
+// expectedOutput returns how many tokens a request puts out that has stated at most the
+// given number. Until that is known of other requests, it is not expected to exceed the
+// share of one slot, so that it leaves the other slots to others.
+func (l *Ledger) expectedOutput(stated int64) float64 {
+	expected := l.speed.expectedOutput(stated)
+	if capacity := l.tokenCapacity(); capacity > 0 && l.slots > 0 && !l.speed.knowsOutput() {
+		return min(expected, float64(capacity)/float64(l.slots))
+	}
+	return expected
 }
 
 // neverFits reports whether a prompt is longer than the engine's cache.
@@ -478,7 +489,7 @@
 
 // expectedRun returns how long a request should run from its first token on.
 func (l *Ledger) expectedRun(now time.Time, outputTokens int64) time.Duration {
-	return l.run(now, outputTokens, l.speed.expectedOutput(outputTokens))
+	return l.run(now, outputTokens, l.expectedOutput(outputTokens))
 }
 
 // longestRun returns how long a request may run from its first token on until its end
--- a/pkg/coordination/room/reading_speed.go
+++ b/pkg/coordination/room/reading_speed.go
@@ -141,12 +141,15 @@
 // the given number. One that states far more than others is not expected to put out
 // more than the largest of them did; it would keep them all from its engine.
 func (s *ReadingSpeed) expectedOutput(stated int64) float64 {
-	if s.runs < minReadings {
+	if !s.knowsOutput() {
 		return float64(stated)
 	}
 	return min(outputMargin*s.outputShare*float64(stated), float64(stated), outputMargin*s.largestOutput)
 }
 
+// knowsOutput reports whether enough requests have run to their end.
+func (s *ReadingSpeed) knowsOutput() bool { return s.runs >= minReadings }
+
 // Speed is the state of a ReadingSpeed for logs.
 type Speed struct {
 	// Readings is the decayed number of first events; the times are 0 while there are too
--- a/pkg/coordination/room/tokens_test.go
+++ b/pkg/coordination/room/tokens_test.go
@@ -126,3 +126,34 @@
 	decision, _ = g.Admit(now, endless)
 	assert.Equal(t, decision, room.Granted)
 }
+
+// Guards against one request without a limit of its output that, before the output of any
+// request is known, keeps all others from its engine: while it runs, and later by what the
+// engine's other requests are taken to hold.
+func TestRequestWithoutOutputLimitLeavesRoomAtAnEngineOfUnknownOutput(t *testing.T) {
+	g := room.New(room.DefaultConfig(), &room.ReadingSpeed{}, room.NewShares(), room.NewKinds())
+	g.SetCapacity(12, 58_739)
+	now := startTime
+	greedy := request(100, 1, now)
+	greedy.PromptTokens, greedy.OutputTokens = 400, 1<<30
+	decision, _ := g.Admit(now, greedy)
+	assert.Equal(t, decision, room.Granted)
+	g.EndPrefill(now.Add(ms(60)), greedy.ID, true)
+	now = now.Add(ms(100))
+	ordinary := request(101, 1, now)
+	ordinary.PromptTokens, ordinary.OutputTokens = 400, 400
+	decision, estimate := g.Admit(now, ordinary)
+	assert.Equal(t, decision, room.Granted, "beside the request: wait %v", estimate.Wait)
+	g.EndPrefill(now.Add(ms(60)), ordinary.ID, true)
+	now = now.Add(ms(1000))
+	for _, ended := range []room.Request{greedy, ordinary} {
+		g.End(now, ended.ID, room.Run{EndedAt: now})
+	}
+	// The engine has two requests that the ledger does not know.
+	g.SetLoad(now, 2, 0)
+	now = now.Add(ms(10))
+	late := request(102, 1, now)
+	late.PromptTokens, late.OutputTokens = 400, 400
+	decision, estimate = g.Admit(now, late)
+	assert.Equal(t, decision, room.Granted, "after the request: wait %v", estimate.Wait)
+}
