Adapter versions: a request that waits for its start is checked again

A request was chosen for an engine with an older version in that version's grace period, waited there for up to 1.3 times its objective until the engine's owner let it start, and began on the older version: beyond the bound where the objective is 2.5 s or more at a bound of 5 s, and within half a second of it at 2 s.

Change: engines with an outdated version are left while a request waits in their queue, and the engine that was granted is checked before it is used. The request then chooses again; it is refused at once if the version cannot be loaded in its time.

--- a/pkg/node/adapter_placement.go
+++ b/pkg/node/adapter_placement.go
@@ -71,7 +71,12 @@
 			if !p.besideSend {
 				n.requestCopyIfUneven(now, p, n.pickLeastLoaded(now, holders, p.pickSalt), endpoints)
 			}
-			return n.waitForPrefill(ctx, p, holders)
+			engine, refused := n.waitForPrefill(ctx, p, holders)
+			if refused == nil && n.outdated(engine, p.request.AdapterKey()) {
+				n.releaseGrant(&p.prefillGrant, false)
+				continue
+			}
+			return engine, refused
 		}
 		if !now.Before(limit) {
 			return nil, refuseBusy(retryAfterBusy, "adapter not loaded in time")
@@ -86,6 +91,13 @@
 	}
 }
 
+// outdated reports whether an engine holds an adapter in a version on which no request may
+// begin any more.
+func (n *Node) outdated(e *serving.Endpoint, key serving.AdapterKey) bool {
+	held, found := n.adapterIndex.find(e.ID, key, 0)
+	return found && held.Version < n.declared.minVersion(time.Now(), key)
+}
+
 // followDenial tells the owner of an engine that it denied having the adapter. The
 // request waits for the load's end there unless another engine holds the adapter.
 func (n *Node) followDenial(ctx context.Context, p *requestState, deniedBy *serving.Endpoint, endpoints []*serving.Endpoint, minVersion ids.AdapterVersion, limit time.Time) *refusal {
--- a/pkg/node/start_choice.go
+++ b/pkg/node/start_choice.go
@@ -176,7 +176,7 @@
 // refuses the start.
 func (n *Node) queueForStart(ctx context.Context, p *requestState, reply startReply) (*serving.Endpoint, *refusal) {
 	for ctx.Err() == nil {
-		accepting, others := n.splitAccepting(reply.group.Engines)
+		accepting, others := n.splitAccepting(reply.group.Engines, p.request.AdapterKey())
 		if len(others) > 0 {
 			n.leavePrefillQueue(p, reply.group.DataCentre, others)
 			reply.group.Engines = accepting
@@ -215,10 +215,11 @@
 	return append(head, rest...)
 }
 
-// splitAccepting separates the endpoints that still take requests from the others.
-func (n *Node) splitAccepting(endpoints []*serving.Endpoint) (accepting []*serving.Endpoint, others []ids.EndpointID) {
+// splitAccepting separates the endpoints that still take requests for an adapter from the
+// others.
+func (n *Node) splitAccepting(endpoints []*serving.Endpoint, key serving.AdapterKey) (accepting []*serving.Endpoint, others []ids.EndpointID) {
 	for _, e := range endpoints {
-		if n.accepts(e) {
+		if n.accepts(e) && !n.outdated(e, key) {
 			accepting = append(accepting, e)
 		} else {
 			others = append(others, e.ID)
