Drain: a late one answers earlier, but cuts no answer earlier

The time of the signal is a lower bound: a process that was short of processor time before it takes it for older than it is. The end of the whole drain was moved by that, also for answers that have begun, which lose nothing if the grace time ends them.

Change: the times are separate. Requests that have no answer yet are answered earlier by the delay; answers that have begun go on for 0.85 of the grace time from the beginning of the drain at least. After that their connections are closed one by one, as before, so that what has been received meanwhile is answered until the end.

--- a/pkg/node/dispatch.go
+++ b/pkg/node/dispatch.go
@@ -62,6 +62,7 @@
 	defer cancel()
 	p.outlastDrainAnswers = context.AfterFunc(n.requestsCtx, cancel)
 	defer p.outlastDrainAnswers()
+	defer context.AfterFunc(n.answersCtx, cancel)()
 	n.dispatch(ctx, w, r, p)
 }
 
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -19,10 +19,13 @@
 	// drainAnswerShare is the share of the grace time, before drainReserve, that is
 	// kept for answering the requests that are still open.
 	drainAnswerShare = 0.025
-	// maxDrainDelayShare and maxEarlyEndShare bound the shares of the grace time by which
-	// a drain may be taken to begin late, and by which it ends earlier for that.
-	maxDrainDelayShare = 0.5
-	maxEarlyEndShare   = 0.12
+	// maxDrainDelayShare and maxEarlyAnswerShare bound the shares of the grace time by which
+	// a drain may be taken to begin late, and by which it answers earlier for that.
+	maxDrainDelayShare  = 0.5
+	maxEarlyAnswerShare = 0.12
+	// minAnswerShare is the share of the grace time for which answers that have begun go on
+	// at least. Operators take those that last longer for unfinished work.
+	minAnswerShare = 0.85
 	// handlerEndTime is how long a drain waits for handlers whose connections it has
 	// closed, with looks at handlerEndInterval.
 	handlerEndTime     = 100 * time.Millisecond
@@ -62,20 +65,24 @@
 // drainSchedule holds the times of a drain.
 type drainSchedule struct {
 	// stopListening is when no more connections are accepted, answerBy when the requests
-	// that are open have to be answered, and end when the process ends.
-	stopListening, answerBy, end time.Time
+	// that are open have to be answered, cutAt when answers that have begun are cut, and end
+	// when the process ends.
+	stopListening, answerBy, cutAt, end time.Time
 }
 
 // scheduleDrain returns the times of a drain that was asked for at the given time and began
-// at a later one. A process that begins late is expected to end late too.
+// at a later one. A process that begins late is expected to answer late too, and so answers
+// earlier. It does not cut answers earlier for that: an answer that is open at the end of
+// the grace time has been given all of it.
 func scheduleDrain(asked, began time.Time, grace time.Duration) drainSchedule {
-	delay := min(max(began.Sub(asked)-turnInterval, 0), time.Duration(maxDrainDelayShare*float64(grace)))
-	early := min(delay, time.Duration(maxEarlyEndShare*float64(grace)))
-	end := began.Add(-delay).Add(grace - drainReserve - early)
+	share := func(share float64) time.Duration { return time.Duration(share * float64(grace)) }
+	delay := min(max(began.Sub(asked)-turnInterval, 0), share(maxDrainDelayShare))
+	last := began.Add(grace - drainReserve - delay)
+	answerBy := last.Add(-drainAnswerTime(grace) - min(delay, share(maxEarlyAnswerShare)))
+	cutAt := latest(answerBy.Add(drainAnswerTime(grace)), began.Add(share(minAnswerShare)))
 	return drainSchedule{
 		stopListening: began.Add(min(drainListenTime, grace/2)),
-		answerBy:      end.Add(-drainAnswerTime(grace)),
-		end:           end,
+		answerBy:      answerBy, cutAt: cutAt, end: latest(cutAt, last.Add(drainReserve/2)),
 	}
 }
 
@@ -130,18 +137,22 @@
 
 // closeCallers closes the callers' connections once their requests are answered, and returns
 // the number of those that are open at the end. Requests that are open at schedule.answerBy
-// are ended then.
+// are ended then, and answers that have begun at schedule.cutAt.
 func (n *Node) closeCallers(schedule drainSchedule) int {
-	ctx, cancel := context.WithDeadline(context.Background(), schedule.answerBy)
-	defer cancel()
-	open := n.callers.Drain(ctx)
-	if open == 0 {
+	closeUntil := func(deadline time.Time) int {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		return n.callers.Drain(ctx)
+	}
+	answerTime := drainAnswerTime(n.settings.Bounds.ShutdownGracePeriod)
+	if open := closeUntil(schedule.answerBy); open == 0 {
 		return 0
 	}
 	n.cancelRequests()
 	// A process that gets here late answers late too.
-	answered := time.Now().Add(drainAnswerTime(n.settings.Bounds.ShutdownGracePeriod))
-	ctx, cancel = context.WithDeadline(context.Background(), latest(schedule.end, answered))
-	defer cancel()
-	return n.callers.Drain(ctx)
+	if open := closeUntil(latest(schedule.cutAt, time.Now().Add(answerTime))); open == 0 {
+		return 0
+	}
+	n.cancelAnswers()
+	return closeUntil(latest(schedule.end, time.Now().Add(answerTime)))
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -193,6 +193,9 @@
 	// requestsCtx ends when the open requests of a drain have to be answered.
 	requestsCtx    context.Context
 	cancelRequests context.CancelFunc
+	// answersCtx ends when the answers that have begun are cut.
+	answersCtx    context.Context
+	cancelAnswers context.CancelFunc
 }
 
 // New creates a VM without opening a port.
@@ -248,6 +251,7 @@
 	n.pickSalt.Store(rand.Uint64())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
+	n.answersCtx, n.cancelAnswers = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
 	n.engineOwner = newOwner(n)
 	n.requestEnds = newRequestEnds()
@@ -381,6 +385,7 @@
 func (n *Node) stop() {
 	n.cancel()
 	n.cancelRequests()
+	n.cancelAnswers()
 	n.peers.Close()
 	n.workers.Wait()
 	n.metrics.close()
