Drain: a late one refuses long requests from the signal on

Cause: a draining VM refuses requests that may outlast it once its listener is closed, 2.2 s after the beginning of the drain, however late that is.

Change: the time until such requests are refused counts from the signal. Requests that end in time are taken as before.

Before, TestLateDrainRefusesLongRequestsFromTheSignalOn failed (a request for 8 s admitted 2.3 s after a signal that was seen 0.6 s late).

--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -139,7 +139,7 @@
 		return refuseStatus(http.StatusNotFound, "no model has so long a name")
 	}
 	p.setDeadline(call.TimeLeft)
-	if end := n.drainEnd.Load(); end != nil && p.request.Deadline.After(*end) {
+	if n.drainSchedule.Load().refuses(time.Now(), p.request.Deadline) {
 		return refuseBusy(retryOtherVM, "the VM shuts down")
 	}
 	if refused := n.readBody(w, r, p, view.Config.Limits.BodyBytes, view.Config.Limits.IdleTimeout); refused != nil {
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -68,6 +68,14 @@
 	// that are open have to be answered, cutAt when answers that have begun are cut, and end
 	// when the process ends.
 	stopListening, answerBy, cutAt, end time.Time
+	// refuseFrom is when requests are refused that may last longer than answerBy.
+	refuseFrom time.Time
+}
+
+// refuses reports whether a request is refused that arrives now and may last until the given
+// time.
+func (s *drainSchedule) refuses(now, until time.Time) bool {
+	return s != nil && !now.Before(s.refuseFrom) && until.After(s.answerBy)
 }
 
 // scheduleDrain returns the times of a drain that was asked for at the given time and began
@@ -80,9 +88,10 @@
 	last := began.Add(grace - drainReserve - delay)
 	answerBy := last.Add(-drainAnswerTime(grace) - min(delay, share(maxEarlyAnswerShare)))
 	cutAt := latest(answerBy.Add(drainAnswerTime(grace)), began.Add(share(minAnswerShare)))
+	listenTime := min(drainListenTime, grace/2)
 	return drainSchedule{
-		stopListening: began.Add(min(drainListenTime, grace/2)),
-		answerBy:      answerBy, cutAt: cutAt, end: latest(cutAt, last.Add(drainReserve/2)),
+		stopListening: began.Add(listenTime), refuseFrom: began.Add(listenTime - min(delay, listenTime)),
+		answerBy: answerBy, cutAt: cutAt, end: latest(cutAt, last.Add(drainReserve/2)),
 	}
 }
 
@@ -102,12 +111,12 @@
 	began := time.Now()
 	grace := n.settings.Bounds.ShutdownGracePeriod
 	schedule := scheduleDrain(asked, began, grace)
+	n.drainSchedule.Store(&schedule)
 	n.draining.Store(true)
 	n.updateClaims(began)
 	n.wakeExchange.wake()
 	n.logInfo("drain", fields{"open": n.openRequests.Load(), "delayMs": began.Sub(asked).Milliseconds()})
 	time.Sleep(time.Until(schedule.stopListening))
-	n.drainEnd.Store(&schedule.answerBy)
 	if n.callersListener != nil {
 		if err := connections.CloseListener(n.callersListener); err != nil {
 			n.logWarning("callers' listener not closed", err, nil)
--- a/pkg/node/drain_test.go
+++ b/pkg/node/drain_test.go
@@ -33,6 +33,24 @@
 	}
 }
 
+// Guards against requests that a late drain still admits 3 s after the signal or later, and
+// that are killed with the process at the end of the grace time.
+func TestLateDrainRefusesLongRequestsFromTheSignalOn(t *testing.T) {
+	const grace = 8 * time.Second
+	asked := time.Unix(1000, 0)
+	var none *drainSchedule
+	assert.Assert(t, !none.refuses(asked, asked.Add(time.Hour)))
+	for _, delay := range []time.Duration{0, turnInterval, 600 * time.Millisecond, 1600 * time.Millisecond, 3100 * time.Millisecond} {
+		schedule := scheduleDrain(asked, asked.Add(delay), grace)
+		for after := delay; after < grace; after += 50 * time.Millisecond {
+			arrived := asked.Add(after)
+			refused := schedule.refuses(arrived, arrived.Add(grace))
+			assert.Assert(t, refused || after < drainListenTime+turnInterval, "delay %v: admitted %v after the signal", delay, after)
+			assert.Assert(t, !schedule.refuses(arrived, schedule.answerBy), "delay %v: a request that ends in time is refused", delay)
+		}
+	}
+}
+
 // Guards against a signal that counts as recent although it waited for a turn of this
 // process, which many ready goroutines share.
 func TestEndThatWaitsForATurnIsSeenAsLate(t *testing.T) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -188,8 +188,8 @@
 	// callers holds the callers' connections, and callersListener accepts them.
 	callers         *connections.Set
 	callersListener net.Listener
-	// drainEnd is the end of a drain whose listener is closed; nil before that.
-	drainEnd atomic.Pointer[time.Time]
+	// drainSchedule is nil before a drain.
+	drainSchedule atomic.Pointer[drainSchedule]
 	// requestsCtx ends when the open requests of a drain have to be answered.
 	requestsCtx    context.Context
 	cancelRequests context.CancelFunc
