Handover: a search that a timer starts late is postponed

Cause: the timer that ends the allowed silence and the bytes of the engine were due at once, and the timer came first.

Change: a search that starts more than 100 ms late gives the endpoint as much further time as the timer was late, together no more than the limit once more.

--- a/pkg/coordination/handover/handover.go
+++ b/pkg/coordination/handover/handover.go
@@ -30,6 +30,8 @@
 	// silence says nothing.
 	held  bool
 	ended bool
+	// postponed is by how much the search was postponed since progressAt was set.
+	postponed time.Duration
 }
 
 // New returns the watch of a send that begins now.
@@ -39,14 +41,30 @@
 
 // Progress records that the endpoint has sent something that counts, and the
 // limit from then on.
-func (w *Watch) Progress(now time.Time, limit time.Duration) { w.progressAt, w.limit = now, limit }
+func (w *Watch) Progress(now time.Time, limit time.Duration) {
+	w.progressAt, w.limit, w.postponed = now, limit, 0
+}
+
+// Postpone postpones a search that is due but late, since this process had no turn: what
+// the endpoint has sent meanwhile may not have been read yet. The endpoint gets as much
+// further time as the process lost, but no more than the limit in all. Postpone reports
+// whether the search was postponed.
+func (w *Watch) Postpone(now time.Time, late time.Duration) bool {
+	by := min(late, w.limit-w.postponed)
+	if w.ended || w.held || by <= 0 {
+		return false
+	}
+	w.postponed += by
+	w.progressAt = now.Add(by - w.limit)
+	return true
+}
 
 // Hold stops the watch while the endpoint's bytes are written to the caller, and
 // Release starts it anew.
 func (w *Watch) Hold() { w.held = true }
 
 // Release ends Hold.
-func (w *Watch) Release(now time.Time) { w.progressAt, w.held = now, false }
+func (w *Watch) Release(now time.Time) { w.progressAt, w.held, w.postponed = now, false, 0 }
 
 // End records that the send has ended or that it is handed over.
 func (w *Watch) End() { w.ended = true }
--- a/pkg/coordination/handover/handover_test.go
+++ b/pkg/coordination/handover/handover_test.go
@@ -73,3 +73,34 @@
 		assert.Equal(t, handover.ResumeBy(at(0), c.objective, c.pause).Sub(at(0)), c.patience)
 	}
 }
+
+// Guards against a stream that is taken from a sound endpoint, since the process had no turn
+// to read what the endpoint sent: a late search gives it as much further time.
+func TestLateSearchIsPostponed(t *testing.T) {
+	w := handover.New(at(0), time.Second)
+	assert.Assert(t, w.MayHandOver(at(1600)))
+	assert.Assert(t, w.Postpone(at(1600), 600*time.Millisecond))
+	assert.Assert(t, !w.MayHandOver(at(2100)))
+	wait, watched := w.UntilSearch(at(1600))
+	assert.Assert(t, watched)
+	assert.Equal(t, wait, 600*time.Millisecond)
+	assert.Assert(t, w.MayHandOver(at(2200)))
+}
+
+// Guards against an endpoint that is never given up by a process whose timers are always
+// late.
+func TestSearchIsPostponedByItsLimitAtMost(t *testing.T) {
+	w := handover.New(at(0), time.Second)
+	now, postponed := at(1000), 0
+	for ; w.Postpone(now, 300*time.Millisecond); postponed++ {
+		wait, _ := w.UntilSearch(now)
+		now = now.Add(wait)
+	}
+	assert.Equal(t, postponed, 4)
+	assert.Equal(t, now.Sub(at(0)), 2*time.Second)
+	assert.Assert(t, w.MayHandOver(now))
+	w.Progress(now, time.Second)
+	assert.Assert(t, w.Postpone(now.Add(2*time.Second), time.Second))
+	w.End()
+	assert.Assert(t, !w.Postpone(now.Add(time.Hour), time.Second))
+}
--- a/pkg/node/handover.go
+++ b/pkg/node/handover.go
@@ -39,6 +39,8 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	watch *handover.Watch
+	// due is when the timer is to call search.
+	due time.Time
 	// stopSearch ends the search that is running; nil if there is none.
 	stopSearch  context.CancelFunc
 	replacement *replacement
@@ -60,6 +62,7 @@
 	s := &silenceWatch{node: n, request: p, endpoint: e, ctx: ctx, cancel: cancel, watch: handover.New(time.Now(), limit)}
 	if limit > 0 {
 		s.mu.Lock()
+		s.due = time.Now().Add(limit)
 		s.timer = time.AfterFunc(limit, s.search)
 		s.mu.Unlock()
 	}
@@ -114,9 +117,12 @@
 	s.mu.Lock()
 	began := time.Now()
 	wait, watched := s.watch.UntilSearch(began)
+	if late := began.Sub(s.due); watched && wait == 0 && late > maxTimerDelay && s.watch.Postpone(began, late) {
+		wait, watched = s.watch.UntilSearch(began)
+	}
 	if !watched || wait > 0 {
 		if watched {
-			s.timer.Reset(wait)
+			s.searchIn(wait)
 		}
 		s.mu.Unlock()
 		return
@@ -155,10 +161,19 @@
 		s.node.logInfo("endpoint silent, no other can go on", fields{"request": s.request.request.ID, "endpoint": s.endpoint, "reason": refused.reason})
 	}
 	if _, watched := s.watch.UntilSearch(time.Now()); watched {
-		s.timer.Reset(handoverInterval)
+		s.searchIn(handoverInterval)
 	}
 }
 
+// maxTimerDelay is how late a timer may be in a process that gets its turns.
+const maxTimerDelay = 100 * time.Millisecond
+
+// searchIn has search called after the given time. The caller holds mu.
+func (s *silenceWatch) searchIn(wait time.Duration) {
+	s.due = time.Now().Add(wait)
+	s.timer.Reset(wait)
+}
+
 // recordSilence counts an endpoint's silence as a failure at once: requests that could
 // go elsewhere, or load their adapter there, would otherwise join those that wait.
 func (n *Node) recordSilence(id ids.EndpointID) {
