Handover: the reader of a stream has a turn before it is taken from its engine

Cause: the search for another engine ran while the bytes of the first one had arrived and their reader had no turn yet.

Change: once another engine is found, the search lets the goroutines that are ready run, those with bytes to read included, and looks again whether the engine has gone on.

--- a/pkg/node/handover.go
+++ b/pkg/node/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	cancel   context.CancelFunc
 	timer    *time.Timer
 	searches sync.WaitGroup
+	// find looks for another endpoint.
+	find func(context.Context, *requestState) (*serving.Endpoint, *refusal)
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -59,7 +62,7 @@
 // watchSilence starts the watch of a send. ctx and cancel are those of the send. A
 // limit of 0 means that the request is not sent again.
 func (n *Node) watchSilence(ctx context.Context, cancel context.CancelFunc, p *requestState, e ids.EndpointID, limit time.Duration) *silenceWatch {
-	s := &silenceWatch{node: n, request: p, endpoint: e, ctx: ctx, cancel: cancel, watch: handover.New(time.Now(), limit)}
+	s := &silenceWatch{node: n, request: p, endpoint: e, ctx: ctx, cancel: cancel, watch: handover.New(time.Now(), limit), find: n.findReplacement}
 	if limit > 0 {
 		s.mu.Lock()
 		s.due = time.Now().Add(limit)
@@ -138,13 +141,16 @@
 	var endpoint *serving.Endpoint
 	var refused *refusal
 	if err := protect("look for another endpoint", func() error {
-		endpoint, refused = s.node.findReplacement(ctx, search)
+		endpoint, refused = s.find(ctx, search)
 		return nil
 	}); err != nil {
 		refused = refuseNoEndpoint()
 		s.node.logWarning("search for another endpoint failed", err, fields{"request": s.request.request.ID, "endpoint": s.endpoint})
 	}
 
+	if refused == nil {
+		awaitTurns()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopSearch = nil
@@ -165,6 +171,17 @@
 	}
 }
 
+// networkPollTime is the time in which the Go runtime looks for bytes that have arrived,
+// also while all processors are busy.
+const networkPollTime = 10 * time.Millisecond
+
+// awaitTurns returns once goroutines that are ready had a turn, those included whose
+// connections have bytes to read.
+func awaitTurns() {
+	time.Sleep(networkPollTime)
+	runtime.Gosched()
+}
+
 // maxTimerDelay is how late a timer may be in a process that gets its turns.
 const maxTimerDelay = 100 * time.Millisecond
 
