--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -46,7 +46,8 @@
 	for seen := time.Now(); ; {
 		asked := time.Now()
 		// Goroutines that are ready run before this one goes on, that which receives
-		// signals included: signals that arrived before have been seen then.
+		// signals included: signals that arrived before have mostly been seen then. One that
+		// came while the whole process was paused may still be on its way to that goroutine.
 		runtime.Gosched()
 		select {
 		case <-ctx.Done():
